--- /dev/null
+++ b/src/bin/corianderramp.rs
@@ -0,0 +1,3 @@
+//! Operators' tool of corianderramp.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/corianderrampd.rs
@@ -0,0 +1,3 @@
+//! Daemon of corianderramp.
+
+fn main() {}
--- /dev/null
+++ b/src/blackboard.rs
@@ -0,0 +1,56 @@
+//! Shared state of a process. Each topic has one writer and any number of
+//! readers; controllers wait for topics and decide from their values.
+
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use crate::config;
+use crate::control::pb;
+
+/// Phase of the process.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Phase {
+    /// Has no configuration yet.
+    #[default]
+    Starting,
+    /// Takes requests.
+    Ready,
+    /// Finishes requests in progress and takes no new ones.
+    Draining,
+}
+
+/// Version that an agent's engine serves.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Serving {
+    /// Model or adapter; empty when the engine serves none.
+    pub model: String,
+    /// Version.
+    pub version: String,
+    /// Generation of the rollout that it was loaded for.
+    pub generation: u64,
+}
+
+/// Topics of a process.
+#[derive(Debug, Default)]
+pub struct Blackboard {
+    /// Configuration; written by `config`.
+    pub config: watch::Sender<Arc<config::View>>,
+    /// Phase; written by `daemon`.
+    pub phase: watch::Sender<Phase>,
+    /// Coordinator of the own data centre; written by `config`.
+    pub coordinator: watch::Sender<Option<pb::Coordinator>>,
+    /// What the engine may serve now, `None` while it switches; agents only,
+    /// written by `agent::switch`.
+    pub serving: watch::Sender<Option<Serving>>,
+    /// Requests in progress at this agent; written by `agent::gate`.
+    pub active: watch::Sender<u32>,
+}
+
+impl Blackboard {
+    /// Current configuration.
+    #[must_use]
+    pub fn view(&self) -> Arc<config::View> {
+        self.config.borrow().clone()
+    }
+}
--- /dev/null
+++ b/src/burn.rs
@@ -0,0 +1,1 @@
+//! Service-level counting and burn rates.
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,1 @@
+//! Command-line arguments of both programs.
--- /dev/null
+++ b/src/cmd.rs
@@ -0,0 +1,1 @@
+//! Subcommands of the operators' tool.
--- /dev/null
+++ b/src/coordinator.rs
@@ -0,0 +1,1 @@
+//! Coordination of one data centre: lease, status, switch permits, counts.
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,1 @@
+//! Request path on entry VMs.
--- /dev/null
+++ b/src/journal.rs
@@ -0,0 +1,1 @@
+//! At-most-once journal in the platform.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,24 @@
+//! Distributes model weights to many small VMs while live requests keep flowing.
+//!
+//! `docs/design.md` describes the parts and how they work together.
+
+pub mod agent;
+pub mod blackboard;
+pub mod burn;
+pub mod cli;
+pub mod clock;
+pub mod cmd;
+pub mod config;
+pub mod control;
+pub mod coordinator;
+pub mod daemon;
+pub mod digest;
+pub mod entry;
+pub mod journal;
+pub mod logging;
+pub mod membership;
+pub mod platform;
+pub mod rendezvous;
+pub mod resource;
+pub mod settings;
+pub mod weights;
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,1 @@
+//! Logs: one line of key=value pairs per event, written to standard error.
--- /dev/null
+++ b/src/weights.rs
@@ -0,0 +1,1 @@
+//! Weights: planning, chunk exchange, cache and pacing.
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,13 @@
+//! Stand-ins for the platform, the weight origin, model engines, plain
+//! services and links, and the load and experiment tools. Tests start them in
+//! their own process; `standins` runs each as a process of its own.
+
+pub mod args;
+pub mod engine;
+pub mod experiment;
+pub mod load;
+pub mod origin;
+pub mod platform;
+pub mod relay;
+pub mod service;
+pub mod toolkit;
--- /dev/null
+++ b/standins/src/toolkit.rs
@@ -0,0 +1,127 @@
+//! What the stand-ins share: settings files, HTTP serving, token buckets.
+
+use std::convert::Infallible;
+use std::fs;
+use std::future::Future;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use parking_lot::Mutex;
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::time::{self, Instant};
+
+/// Why a stand-in can't run.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A file can't be read or written, or an address can't be listened at.
+    #[snafu(display("{}: {source}", what.display()))]
+    Io {
+        /// File or address.
+        what: PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
+    /// The settings file is not valid.
+    #[snafu(display("{}: {source}", path.display()))]
+    Parse {
+        /// Settings file.
+        path: PathBuf,
+        /// Cause, with line and column.
+        source: Box<toml::de::Error>,
+    },
+    /// The run can't be carried out.
+    #[snafu(display("{reason}"))]
+    Unusable {
+        /// Why.
+        reason: String,
+    },
+}
+
+/// Reads a settings file.
+///
+/// # Errors
+/// Names the file and the line that can't be used.
+pub fn load<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
+    let text = fs::read_to_string(path).context(IoSnafu { what: path })?;
+    toml::from_str(&text)
+        .map_err(Box::new)
+        .context(ParseSnafu { path })
+}
+
+/// Body of the stand-ins' answers.
+pub type Body = BoxBody<Bytes, io::Error>;
+
+/// A body that is complete from the start.
+pub fn full(data: impl Into<Bytes>) -> Body {
+    Full::new(data.into())
+        .map_err(|never| match never {})
+        .boxed()
+}
+
+/// Serves HTTP/1.1 and HTTP/2 on `listener` until the task is dropped.
+pub async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let answer = handler(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let server = auto::Builder::new(TokioExecutor::new());
+            let _ = server.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+/// Token bucket that spaces bytes out to a rate.
+#[derive(Debug)]
+pub struct Bucket {
+    rate: f64,
+    next: Mutex<Instant>,
+}
+
+impl Bucket {
+    /// Bucket for `rate` bytes per second; 0 for no limit.
+    #[must_use]
+    pub fn new(rate: f64) -> Self {
+        Self {
+            rate,
+            next: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Waits until `bytes` may pass.
+    pub async fn take(&self, bytes: usize) {
+        if self.rate <= 0.0 {
+            return;
+        }
+        #[allow(clippy::cast_precision_loss)]
+        let cost = Duration::from_secs_f64(bytes as f64 / self.rate);
+        let until = {
+            let mut next = self.next.lock();
+            *next = (*next).max(Instant::now()) + cost;
+            *next
+        };
+        time::sleep_until(until).await;
+    }
+}
