Add a harness that starts daemon processes on own loopback addresses

Failure tests need real processes that can be killed, frozen and stopped by id. No test uses it yet.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod args;
 pub mod engine;
 pub mod experiment;
+pub mod harness;
 pub mod load;
 pub mod origin;
 pub mod platform;
--- a/standins/src/toolkit.rs
+++ b/standins/src/toolkit.rs
@@ -23,6 +23,7 @@
 
 /// Why a stand-in can't run.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// A file can't be read or written, or an address can't be listened at.
     #[snafu(display("{}: {source}", what.display()))]
