--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod logging;
 pub mod membership;
 pub mod platform;
+pub mod protocol;
 pub mod rendezvous;
 pub mod resource;
 pub mod settings;
