--- /dev/null
+++ b/src/entry/body.rs
@@ -0,0 +1,258 @@
+//! Body of an answer to a caller.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::{self, Instant, Sleep};
+
+use super::deaths::Deaths;
+use super::operation::Counter;
+use super::pool::Ticket;
+use super::record::{End, Record};
+use super::share::Admitted;
+use crate::blackboard::Blackboard;
+use crate::clock::Clock;
+
+/// Counts a request as in progress until it is dropped.
+#[derive(Debug)]
+pub struct Progress {
+    board: Arc<Blackboard>,
+}
+
+impl Progress {
+    /// Raises the count of requests in progress.
+    #[must_use]
+    pub fn new(board: &Arc<Blackboard>) -> Self {
+        board.active.send_modify(|n| *n += 1);
+        Self {
+            board: board.clone(),
+        }
+    }
+
+    /// Requests in progress, this one included.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        *self.board.active.borrow() as usize
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        self.board.active.send_modify(|n| *n = n.saturating_sub(1));
+    }
+}
+
+/// Answer that a target streams.
+#[derive(Debug)]
+pub struct Stream<C: Clock, B: Counter> {
+    first: Option<Frame<Bytes>>,
+    body: Incoming,
+    ended: bool,
+    /// Given back when the answer ends.
+    ticket: Option<Ticket<C>>,
+    record: Record<C, B>,
+    deaths: Arc<Deaths<C>>,
+    admitted: Option<Admitted<C>>,
+    idle: Duration,
+    /// Ends an answer without progress, or after the caller's deadline.
+    timer: Pin<Box<Sleep>>,
+    end: Option<Instant>,
+}
+
+/// What a streamed answer consists of.
+#[derive(Debug)]
+pub struct Parts<C: Clock, B: Counter> {
+    /// Frame that was read already.
+    pub first: Option<Frame<Bytes>>,
+    /// Rest of the answer.
+    pub body: Incoming,
+    /// Place at the target.
+    pub ticket: Ticket<C>,
+    /// Record of the request.
+    pub record: Record<C, B>,
+    /// Told when the target dies.
+    pub deaths: Arc<Deaths<C>>,
+    /// Place within the account's limits.
+    pub admitted: Admitted<C>,
+    /// Longest time without progress.
+    pub idle: Duration,
+    /// When the caller stops waiting for the end.
+    pub end: Option<Instant>,
+}
+
+/// Body of an answer to a caller.
+#[derive(Debug)]
+pub struct Answer<C: Clock, B: Counter> {
+    kind: Kind<C, B>,
+    /// Held until the answer ends.
+    _progress: Progress,
+}
+
+#[derive(Debug)]
+enum Kind<C: Clock, B: Counter> {
+    Whole(Full<Bytes>),
+    Stream(Box<Stream<C, B>>),
+}
+
+impl<C: Clock, B: Counter> Answer<C, B> {
+    /// Answer that is there as a whole.
+    #[must_use]
+    pub fn whole(body: Bytes, progress: Progress) -> Self {
+        Self {
+            kind: Kind::Whole(Full::new(body)),
+            _progress: progress,
+        }
+    }
+
+    /// Answer that a target streams.
+    #[must_use]
+    pub fn stream(parts: Parts<C, B>, progress: Progress) -> Self {
+        let stream = Stream {
+            first: parts.first,
+            body: parts.body,
+            ended: false,
+            ticket: Some(parts.ticket),
+            record: parts.record,
+            deaths: parts.deaths,
+            admitted: Some(parts.admitted),
+            idle: parts.idle,
+            timer: Box::pin(time::sleep(parts.idle)),
+            end: parts.end,
+        };
+        Self {
+            kind: Kind::Stream(Box::new(stream)),
+            _progress: progress,
+        }
+    }
+}
+
+impl<C: Clock, B: Counter> Stream<C, B> {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if let Some(first) = self.first.take() {
+            self.passed();
+            return Poll::Ready(Some(Ok(first)));
+        }
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        match Pin::new(&mut self.body).poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                self.passed();
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(e))) => {
+                self.cut();
+                Poll::Ready(Some(Err(io::Error::other(e))))
+            }
+            Poll::Ready(None) => {
+                self.done();
+                Poll::Ready(None)
+            }
+            Poll::Pending => self.poll_timer(cx),
+        }
+    }
+
+    fn poll_timer(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if self.timer.as_mut().poll(cx).is_pending() {
+            return Poll::Pending;
+        }
+        self.ended = true;
+        self.record.code = "no_progress";
+        self.record.finish(End::Cut);
+        if let Some(ticket) = self.ticket.take() {
+            ticket.late();
+        }
+        self.admitted = None;
+        let late = io::Error::new(io::ErrorKind::TimedOut, "no progress");
+        Poll::Ready(Some(Err(late)))
+    }
+
+    /// A frame goes to the caller. The server doesn't ask for more after the
+    /// last byte of a body of known length.
+    fn passed(&mut self) {
+        let complete = self.body.is_end_stream() || self.body.size_hint().exact() == Some(0);
+        if complete {
+            self.done();
+            return;
+        }
+        let next = Instant::now() + self.idle;
+        let until = self.end.map_or(next, |end| next.min(end));
+        self.timer.as_mut().reset(until);
+    }
+
+    fn done(&mut self) {
+        self.ended = true;
+        self.record.finish(End::Done);
+        self.admitted = None;
+        if let Some(ticket) = self.ticket.take() {
+            ticket.ended();
+            if ticket.alone {
+                self.deaths.acquit(&ticket.fingerprint);
+            }
+        }
+    }
+
+    fn cut(&mut self) {
+        self.ended = true;
+        self.record.code = "answer_cut";
+        self.record.finish(End::Cut);
+        self.admitted = None;
+        if let Some(ticket) = self.ticket.take() {
+            let deaths = self.deaths.clone();
+            tokio::spawn(async move { deaths.judge(&ticket).await });
+        }
+    }
+}
+
+impl<C: Clock, B: Counter> Body for Answer<C, B> {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match &mut self.get_mut().kind {
+            Kind::Whole(full) => Pin::new(full)
+                .poll_frame(cx)
+                .map_err(|never| match never {}),
+            Kind::Stream(stream) => stream.poll(cx),
+        }
+    }
+
+    /// A stream ends only when it was polled to its end, so that its record
+    /// and its place at the target are closed properly.
+    fn is_end_stream(&self) -> bool {
+        match &self.kind {
+            Kind::Whole(full) => full.is_end_stream(),
+            Kind::Stream(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.kind {
+            Kind::Whole(full) => full.size_hint(),
+            Kind::Stream(stream) => {
+                let first = stream.first.as_ref().and_then(Frame::data_ref);
+                let first = first.map_or(0, |d| d.len() as u64);
+                let rest = stream.body.size_hint();
+                let mut hint = SizeHint::new();
+                hint.set_lower(rest.lower() + first);
+                if let Some(upper) = rest.upper() {
+                    hint.set_upper(upper + first);
+                }
+                hint
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/dispatch.rs
@@ -0,0 +1,166 @@
+//! One attempt: sends a request to one target and waits until the answer begins.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Uri, response};
+use http_body::Frame;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time;
+
+use super::call::Call;
+use super::deaths::Deaths;
+use super::pool::Ticket;
+use crate::clock::Clock;
+use crate::protocol::{self, Outcome, Reason};
+
+/// Beginning of a target's answer.
+#[derive(Debug)]
+pub struct Begun {
+    /// Status and headers.
+    pub head: response::Parts,
+    /// First frame; `None` for an empty body.
+    pub first: Option<Frame<Bytes>>,
+    /// Rest of the body.
+    pub body: Incoming,
+}
+
+/// Why an attempt brought no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// The request was certainly not run.
+    NotRun,
+    /// It may have run.
+    Broken,
+    /// It may have run; no answer came in time.
+    Late,
+}
+
+impl Failure {
+    /// What became of the request.
+    #[must_use]
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Self::NotRun => Outcome::NotRun,
+            Self::Broken | Self::Late => Outcome::Unknown,
+        }
+    }
+}
+
+/// Sends `call` to the ticket's target and waits up to `wait` for the beginning
+/// of the answer.
+///
+/// # Errors
+/// Says whether the request may have run.
+pub async fn send<C: Clock>(
+    call: &Call,
+    ticket: &Ticket<C>,
+    deaths: &Deaths<C>,
+    wait: Duration,
+    now: Instant,
+) -> Result<Begun, Failure> {
+    let until = time::Instant::now() + wait;
+    let mut sender = match time::timeout_at(until, ticket.link.sender()).await {
+        Ok(Ok(sender)) => sender,
+        Ok(Err(e)) => {
+            log::warn!(target_vm = ticket.vm.as_str(), error:% = e; "agent unreachable");
+            ticket.unreachable();
+            return Err(Failure::NotRun);
+        }
+        Err(_) => return Err(Failure::NotRun),
+    };
+    let Some(request) = request(call, ticket, now) else {
+        return Err(Failure::NotRun);
+    };
+    let answer = match time::timeout_at(until, sender.try_send_request(request)).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(mut e)) => {
+            // The request comes back only if nothing of it was sent.
+            if e.take_message().is_some() {
+                return Err(Failure::NotRun);
+            }
+            deaths.judge(ticket).await;
+            return Err(Failure::Broken);
+        }
+        Err(_) => return Err(late(ticket).await),
+    };
+    begin(answer, ticket, deaths, until).await
+}
+
+async fn begin<C: Clock>(
+    answer: http::Response<Incoming>,
+    ticket: &Ticket<C>,
+    deaths: &Deaths<C>,
+    until: time::Instant,
+) -> Result<Begun, Failure> {
+    let (head, mut body) = answer.into_parts();
+    match (Outcome::of(&head.headers), Reason::of(&head.headers)) {
+        (Some(Outcome::NotRun), reason) => {
+            ticket.refused(reason);
+            return Err(Failure::NotRun);
+        }
+        (Some(Outcome::Unknown), Some(Reason::Broken)) => {
+            deaths.judge(ticket).await;
+            return Err(Failure::Broken);
+        }
+        (Some(Outcome::Unknown), _) => return Err(Failure::Broken),
+        _ => {}
+    }
+    match time::timeout_at(until, body.frame()).await {
+        Ok(Some(Ok(first))) => {
+            ticket.first_byte();
+            let first = Some(first);
+            Ok(Begun { head, first, body })
+        }
+        Ok(None) => {
+            ticket.first_byte();
+            let first = None;
+            Ok(Begun { head, first, body })
+        }
+        Ok(Some(Err(_))) => {
+            deaths.judge(ticket).await;
+            Err(Failure::Broken)
+        }
+        Err(_) => Err(late(ticket).await),
+    }
+}
+
+/// Gives the target up for this request. The next request gets a new
+/// connection, since this one may carry nothing any more.
+async fn late<C: Clock>(ticket: &Ticket<C>) -> Failure {
+    ticket.late();
+    if ticket.link.renew().await.is_err() {
+        ticket.unreachable();
+    }
+    Failure::Late
+}
+
+fn request<C: Clock>(
+    call: &Call,
+    ticket: &Ticket<C>,
+    now: Instant,
+) -> Option<Request<Full<Bytes>>> {
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(ticket.link.address().to_string())
+        .path_and_query(call.path.as_str())
+        .build()
+        .ok()?;
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = uri;
+    *request.headers_mut() = headers(call, ticket, now);
+    Some(request)
+}
+
+fn headers<C: Clock>(call: &Call, ticket: &Ticket<C>, now: Instant) -> HeaderMap {
+    let mut headers = call.headers.clone();
+    headers.insert(protocol::REQUEST_ID, protocol::value(&call.id));
+    if !ticket.version.is_empty() {
+        headers.insert(protocol::VERSION, protocol::value(&ticket.version));
+    }
+    let left = call.deadline.saturating_duration_since(now).as_millis();
+    headers.insert(protocol::TIMEOUT, protocol::value(&left.to_string()));
+    headers
+}
