--- a/src/resource.rs
+++ b/src/resource.rs
@@ -8,6 +8,7 @@
 use snafu::Snafu;
 
 pub mod account;
+pub mod burn;
 pub mod drain;
 pub mod lease;
 pub mod model;
@@ -226,7 +227,8 @@
         Kind::Service => Object::<service::Service>::from_raw(raw).map(drop),
         Kind::Status => Object::<status::Status>::from_raw(raw).map(drop),
         Kind::Vm => Object::<vm::Vm>::from_raw(raw).map(drop),
-        Kind::Burn | Kind::Journal => check_name(&raw.metadata.name),
+        Kind::Burn => Object::<burn::Burn>::from_raw(raw).map(drop),
+        Kind::Journal => check_name(&raw.metadata.name),
     }
 }
 
