--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! their own process; `standins` runs each as a process of its own.
 
 pub mod args;
+pub mod content;
 pub mod engine;
 pub mod experiment;
 pub mod harness;
--- a/standins/src/toolkit.rs
+++ b/standins/src/toolkit.rs
@@ -94,6 +94,10 @@
     }
 }
 
+/// Unused time that a bucket carries over. Without it, each late wake-up of a
+/// timer (about 1 ms) would lower the rate for good.
+const BURST: Duration = Duration::from_millis(20);
+
 /// Token bucket that spaces bytes out to a rate.
 #[derive(Debug)]
 pub struct Bucket {
@@ -113,16 +117,25 @@
 
     /// Waits until `bytes` may pass.
     pub async fn take(&self, bytes: usize) {
+        if let Some(until) = self.reserve(bytes) {
+            time::sleep_until(until).await;
+        }
+    }
+
+    /// Reserves `bytes` and returns when they may pass; `None` without a limit.
+    /// A flow through several buckets reserves in all of them and waits once,
+    /// for the latest time, so that waiting for one does not lower its rate in
+    /// another.
+    pub fn reserve(&self, bytes: usize) -> Option<Instant> {
         if self.rate <= 0.0 {
-            return;
+            return None;
         }
         #[allow(clippy::cast_precision_loss)]
         let cost = Duration::from_secs_f64(bytes as f64 / self.rate);
-        let until = {
-            let mut next = self.next.lock();
-            *next = (*next).max(Instant::now()) + cost;
-            *next
-        };
-        time::sleep_until(until).await;
+        let now = Instant::now();
+        let floor = now.checked_sub(BURST).unwrap_or(now);
+        let mut next = self.next.lock();
+        *next = (*next).max(floor) + cost;
+        Some(*next)
     }
 }
