Record at-most-once operations in shards of the platform

The table in one process's memory forgot everything with its process and forwarded nothing. The services' modes decide what happens without the platform.

--- a/src/journal.rs
+++ b/src/journal.rs
@@ -2,22 +2,41 @@
 //! recorded, and its receipt answers later copies of the same request.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
-use parking_lot::Mutex;
-use tonic::{Request, Response, Status};
+use tokio::sync::oneshot;
+use tokio::time;
 
 use crate::clock::Clock;
-use crate::control::pb;
 use crate::control::pb::journal_server::JournalServer;
 use crate::daemon::Context;
 use crate::digest;
-use crate::platform::{self, Api};
+use crate::platform::Api;
+use crate::resource::journal;
+
+pub mod actor;
+pub mod held;
+pub mod key;
+pub mod ownership;
+pub mod route;
+pub mod rpc;
+pub mod store;
+pub mod table;
+
+use held::{Answer, Task};
+use key::{Attempt, Finish};
+use route::{Outcome, Parcel, Router};
 
 /// Largest body that a receipt keeps, bytes. A larger one is dropped, and the
 /// receipt is marked as truncated.
 pub const MAX_RECEIPT: usize = 4096;
+/// Longest content type that a receipt keeps, bytes.
+const MAX_TYPE: usize = 128;
+/// Longest time that a reservation may take.
+const RESERVE_LIMIT: Duration = Duration::from_secs(4);
+/// First and longest pause between two tries to record an outcome.
+const FINISH_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
 
 /// An operation that must run at most once.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -45,6 +64,22 @@
     pub truncated: bool,
 }
 
+impl Receipt {
+    /// The receipt within the limits of the journal.
+    fn limited(mut self) -> Self {
+        // 0 stands for an operation without a receipt in stored entries.
+        self.status = self.status.max(1);
+        if self.body.len() > MAX_RECEIPT {
+            self.body = Bytes::new();
+            self.truncated = true;
+        }
+        if self.content_type.len() > MAX_TYPE {
+            self.content_type.clear();
+        }
+        self
+    }
+}
+
 /// Result of reserving an operation.
 #[derive(Debug)]
 pub enum Reservation {
@@ -58,7 +93,7 @@
     Unknown,
     /// The key belongs to a request with another fingerprint.
     Mismatch,
-    /// Nothing was dispatched and the journal can't be written now.
+    /// This attempt was not dispatched, and the journal can't be used now.
     Unavailable {
         /// Why.
         reason: String,
@@ -72,116 +107,187 @@
 pub struct Permit {
     handle: Handle,
     operation: Operation,
-    attempt: String,
+    attempt: Attempt,
 }
 
 impl Permit {
     /// Identifier of the attempt, unique among all reservations.
     #[must_use]
-    pub fn attempt(&self) -> &str {
-        &self.attempt
+    pub fn attempt(&self) -> String {
+        self.attempt.text()
     }
 
     /// Records the answer in the background.
     pub fn complete(self, receipt: Receipt) {
-        let mut table = self.handle.table.lock();
-        if let Some(entry) = table.iter_mut().find(|e| e.attempt == self.attempt) {
-            entry.receipt = Some(receipt);
-        }
+        let finish = Finish::Complete(receipt.limited());
+        self.handle.finish(self.operation, self.attempt, finish);
     }
 
     /// Frees the key in the background; only for an operation that certainly
     /// was not run and will not be.
     pub fn abort(self) {
-        let mut table = self.handle.table.lock();
-        table.retain(|e| e.attempt != self.attempt || e.operation != self.operation);
+        self.handle
+            .finish(self.operation, self.attempt, Finish::Abort);
     }
 }
 
-#[derive(Debug)]
-struct Entry {
-    operation: Operation,
-    attempt: String,
-    deadline: Instant,
-    receipt: Option<Receipt>,
-}
-
 /// The journal as the request path uses it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Handle {
-    table: Arc<Mutex<Vec<Entry>>>,
+    router: Arc<Router>,
+    retention: Duration,
 }
 
-impl Handle {
-    /// Reserves `operation` for one attempt that ends at `deadline` at the latest.
-    #[allow(clippy::unused_async)]
-    pub async fn reserve(&self, operation: Operation, deadline: Instant) -> Reservation {
-        let mut table = self.table.lock();
-        let same = |e: &&Entry| {
-            e.operation.account == operation.account
-                && e.operation.service == operation.service
-                && e.operation.key == operation.key
-        };
-        if let Some(entry) = table.iter().find(same) {
-            return verdict(entry, &operation);
+/// Withdraws the intent of a reservation that is cancelled or fails.
+struct Withdrawal {
+    handle: Handle,
+    pending: Option<(Operation, Attempt)>,
+}
+
+impl Drop for Withdrawal {
+    fn drop(&mut self) {
+        if let Some((operation, attempt)) = self.pending.take() {
+            self.handle.finish(operation, attempt, Finish::Abort);
         }
-        let attempt = platform::new_id();
-        table.push(Entry {
-            operation: operation.clone(),
-            attempt: attempt.clone(),
-            deadline,
-            receipt: None,
-        });
-        Reservation::Fresh(Permit {
-            handle: self.clone(),
-            operation,
-            attempt,
-        })
     }
 }
 
-fn verdict(entry: &Entry, operation: &Operation) -> Reservation {
-    if entry.operation.fingerprint != operation.fingerprint {
-        return Reservation::Mismatch;
-    }
-    match &entry.receipt {
-        Some(receipt) => Reservation::Done(receipt.clone()),
-        None if Instant::now() < entry.deadline => Reservation::InProgress,
-        None => Reservation::Unknown,
+impl Handle {
+    /// Reserves `operation` for one attempt that ends at `deadline` at the
+    /// latest. The result comes within four seconds. Dropping the future
+    /// withdraws the attempt.
+    pub async fn reserve(&self, operation: Operation, deadline: Instant) -> Reservation {
+        let left = deadline.saturating_duration_since(Instant::now());
+        // An attempt must end long before its intent is forgotten.
+        let left = left.min(self.retention / 2);
+        let ask = rpc::ask_for(&operation, held::millis(left));
+        let attempt = ask.attempt;
+        let mut withdrawal = Withdrawal {
+            handle: self.clone(),
+            pending: Some((operation.clone(), attempt)),
+        };
+        let parcel = Parcel {
+            id: ask.id,
+            task: Task::Reserve {
+                offline: self.router.is_offline(&operation.service),
+                ask,
+            },
+            operation,
+        };
+        let limit = left.min(RESERVE_LIMIT);
+        let answer = time::timeout(limit, self.router.run(&parcel)).await;
+        let outcome = answer.map_or_else(
+            |_| Outcome::Unavailable("no answer from the journal in time".into()),
+            Outcome::from,
+        );
+        // A process that was paused may see the permit long after the deadline,
+        // when the intent may be forgotten.
+        let late = Instant::now() >= deadline;
+        let fresh = matches!(outcome, Outcome::Fresh) && !late;
+        let keep = fresh || !matches!(outcome, Outcome::Fresh | Outcome::Unavailable(_));
+        if keep {
+            withdrawal.pending = None;
+        }
+        match outcome {
+            Outcome::Fresh if late => Reservation::Unavailable {
+                reason: "the deadline passed before the permit came".into(),
+            },
+            Outcome::Fresh => Reservation::Fresh(Permit {
+                handle: self.clone(),
+                operation: parcel.operation,
+                attempt,
+            }),
+            Outcome::Done(receipt) => Reservation::Done(receipt),
+            Outcome::InProgress => Reservation::InProgress,
+            Outcome::Unknown => Reservation::Unknown,
+            Outcome::Mismatch => Reservation::Mismatch,
+            Outcome::Unavailable(reason) => Reservation::Unavailable { reason },
+        }
     }
-}
 
-/// gRPC service through which other entries use this entry's shards.
-#[derive(Clone, Debug)]
-pub struct Service;
-
-#[tonic::async_trait]
-impl pb::journal_server::Journal for Service {
-    async fn reserve(
-        &self,
-        _: Request<pb::ReserveRequest>,
-    ) -> Result<Response<pb::ReserveReply>, Status> {
-        Err(Status::unimplemented("forwarding"))
+    /// Hands all shards of this process over, for a planned stop. Returns when
+    /// none is owned any more; the caller sets a limit, since it does not
+    /// return while the platform is unreachable.
+    pub async fn hand_over(&self) {
+        let mut answers = Vec::new();
+        for shard in &self.router.shards {
+            let (reply, answer) = oneshot::channel();
+            let _ = shard.send(actor::Message::Release(reply));
+            answers.push(answer);
+        }
+        for answer in answers {
+            let _ = answer.await;
+        }
     }
 
-    async fn complete(
-        &self,
-        _: Request<pb::CompleteRequest>,
-    ) -> Result<Response<pb::CompleteReply>, Status> {
-        Err(Status::unimplemented("forwarding"))
+    fn finish(&self, operation: Operation, attempt: Attempt, finish: Finish) {
+        let id = key::identify(&operation);
+        let parcel = Parcel {
+            id,
+            task: Task::Finish {
+                id,
+                attempt,
+                finish,
+            },
+            operation,
+        };
+        let (router, retention) = (self.router.clone(), self.retention);
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
+        runtime.spawn(async move {
+            let _ = time::timeout(retention, deliver(&router, &parcel)).await;
+        });
     }
+}
 
-    async fn abort(
-        &self,
-        _: Request<pb::AbortRequest>,
-    ) -> Result<Response<pb::AbortReply>, Status> {
-        Err(Status::unimplemented("forwarding"))
+/// Repeats the end of an attempt until an owner acknowledged it.
+async fn deliver(router: &Router, parcel: &Parcel) {
+    let mut pause = FINISH_PAUSE.0;
+    loop {
+        let answer = time::timeout(RESERVE_LIMIT, router.run(parcel)).await;
+        if matches!(answer, Ok(Answer::Finished(_))) {
+            return;
+        }
+        time::sleep(pause).await;
+        pause = (pause * 2).min(FINISH_PAUSE.1);
     }
 }
 
 /// Starts the journal and returns the handle for the request path and the
 /// service for other entries.
-#[must_use]
-pub fn start(_: &Context, _: impl Clock, _: impl Api) -> (Handle, JournalServer<Service>) {
-    (Handle::default(), JournalServer::new(Service))
+pub fn start<C: Clock, P: Api>(
+    ctx: &Context,
+    clock: C,
+    platform: P,
+) -> (Handle, JournalServer<rpc::Service>) {
+    let started = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+    let me = journal::Owner {
+        vm: ctx.settings.vm.clone(),
+        boot: ctx.boot.clone(),
+        started: held::millis(started.unwrap_or_default()),
+        address: ctx.settings.control_address(),
+    };
+    let settings = ctx.settings.journal.clone();
+    let shared = actor::Shared {
+        me: me.clone(),
+        born: clock.now(),
+        settings: settings.clone(),
+        board: ctx.board.clone(),
+        clock,
+        platform,
+        stop: ctx.stop.clone(),
+    };
+    let shards = (0..settings.shards).map(|shard| actor::spawn(shared.clone(), shard));
+    let router = Arc::new(Router {
+        me,
+        shards: shards.collect(),
+        board: ctx.board.clone(),
+        pool: ctx.pool.clone(),
+    });
+    let handle = Handle {
+        router: router.clone(),
+        retention: Duration::from_millis(settings.retention_ms),
+    };
+    (handle, JournalServer::new(rpc::Service::new(router)))
 }
--- a/src/resource.rs
+++ b/src/resource.rs
@@ -9,6 +9,7 @@
 
 pub mod account;
 pub mod drain;
+pub mod journal;
 pub mod lease;
 pub mod model;
 pub mod rollout;
@@ -226,7 +227,11 @@
         Kind::Service => Object::<service::Service>::from_raw(raw).map(drop),
         Kind::Status => Object::<status::Status>::from_raw(raw).map(drop),
         Kind::Vm => Object::<vm::Vm>::from_raw(raw).map(drop),
-        Kind::Burn | Kind::Journal => check_name(&raw.metadata.name),
+        Kind::Burn => check_name(&raw.metadata.name),
+        Kind::Journal if raw.metadata.name.starts_with("segment.") => {
+            Object::<journal::Segment>::from_raw(raw).map(drop)
+        }
+        Kind::Journal => Object::<journal::Head>::from_raw(raw).map(drop),
     }
 }
 
