--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod rendezvous;
 pub mod resource;
 pub mod settings;
+pub mod telemetry;
 pub mod weights;
