Add the operators' tool

Operators declare objects in TOML files and follow what becomes of them: apply, diff, get, watch, delete, drain, check, model, completions and man.

`apply` checks all files, all references and all stored revisions before it writes anything, then writes in an order in which no object precedes those that it refers to. Every write carries the revision that was read; a file from `get -o toml` keeps its revision, so an edit of an old copy is a conflict that shows both sides instead of a silent overwrite. A conflict with an object of the same specification counts as written, because the answer to an earlier attempt may have been lost.

Exit statuses are listed in the help. Errors take one line each, or one JSON object with `-o json`. A transaction over several objects was ruled out: the platform has none; `apply` says what was and what was not written instead.

--- a/src/bin/corianderramp.rs
+++ b/src/bin/corianderramp.rs
@@ -1,3 +1,9 @@
 //! Operators' tool of corianderramp.
 
-fn main() {}
+use std::process::ExitCode;
+
+use corianderramp::cmd;
+
+fn main() -> ExitCode {
+    cmd::main()
+}
--- a/src/resource.rs
+++ b/src/resource.rs
@@ -71,6 +71,20 @@
 ];
 
 impl Kind {
+    /// All kinds, in the order of their names.
+    pub const ALL: [Self; 10] = [
+        Self::Account,
+        Self::Burn,
+        Self::Drain,
+        Self::Journal,
+        Self::Lease,
+        Self::Model,
+        Self::Rollout,
+        Self::Service,
+        Self::Status,
+        Self::Vm,
+    ];
+
     /// Name as it stands in objects and paths.
     #[must_use]
     pub fn name(self) -> &'static str {
