--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod rendezvous;
 pub mod resource;
 pub mod settings;
+pub mod telemetry;
 pub mod weights;
