Test the request path over real entries and agents

Entries and agents run in the test's process over loopback, with engines and services whose answers and records show mistakes.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -18,8 +18,9 @@
 pub mod reports;
 
 /// Starts admission and reports of the target; the returned gRPC service
-/// streams the reports to entries.
-pub fn start(ctx: &Context, listener: TcpListener) -> ReportsServer<reports::Server> {
+/// streams the reports to entries. What the engine may serve is read from
+/// `board.serving`.
+pub fn serve(ctx: &Context, listener: TcpListener) -> ReportsServer<reports::Server> {
     let draining = drain::start(ctx);
     let broken = Arc::new(Notify::new());
     let observed = probe::start(ctx, broken.clone());
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -7,6 +7,7 @@
 use tokio::net::TcpListener;
 use tonic::{Request, Response, Status};
 
+use crate::burn;
 use crate::clock::Clock;
 use crate::control::pb;
 use crate::control::pb::shares_server::SharesServer;
@@ -16,6 +17,7 @@
 pub mod body;
 pub mod budget;
 pub mod call;
+mod collect;
 pub mod deaths;
 pub mod dispatch;
 pub mod fair;
@@ -38,11 +40,11 @@
 
 /// State of the request path.
 #[derive(Debug)]
-pub struct Entry<C: Clock, J: operation::Journal, B: operation::Counter> {
+pub struct Entry<C: Clock, J: operation::Journal> {
     ctx: Context,
     clock: C,
     journal: J,
-    counter: B,
+    counter: burn::Counter,
     index: ArcSwap<index::Index>,
     fleet: Arc<fleet::Fleet<C>>,
     shares: Arc<share::Shares<C>>,
@@ -53,24 +55,24 @@
 /// Starts serving callers; the returned gRPC service divides account limits and
 /// takes charges of other entries. Requests in progress are counted in
 /// `board.active`.
-pub fn start<C: Clock, J: operation::Journal, B: operation::Counter>(
+pub fn start<C: Clock, J: operation::Journal>(
     ctx: &Context,
     clock: C,
     listener: TcpListener,
     journal: J,
-    counter: B,
+    counter: burn::Counter,
 ) -> SharesServer<Server<C>> {
     let policy = route::Policy::default();
     start_with(ctx, clock, listener, journal, counter, policy)
 }
 
 /// As [`start`], with a routing policy for comparison.
-pub fn start_with<C: Clock, J: operation::Journal, B: operation::Counter>(
+pub fn start_with<C: Clock, J: operation::Journal>(
     ctx: &Context,
     clock: C,
     listener: TcpListener,
     journal: J,
-    counter: B,
+    counter: burn::Counter,
     policy: route::Policy,
 ) -> SharesServer<Server<C>> {
     let entry = Arc::new(Entry {
@@ -105,9 +107,7 @@
     tokio::spawn(async move { stop.run_until_cancelled(task).await });
 }
 
-async fn index_follow<C: Clock, J: operation::Journal, B: operation::Counter>(
-    entry: Arc<Entry<C, J, B>>,
-) {
+async fn index_follow<C: Clock, J: operation::Journal>(entry: Arc<Entry<C, J>>) {
     let mut views = entry.ctx.board.config.subscribe();
     loop {
         let view = views.borrow_and_update().clone();
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -13,7 +13,6 @@
 use tokio::time::{self, Instant, Sleep};
 
 use super::deaths::Deaths;
-use super::operation::Counter;
 use super::pool::Ticket;
 use super::record::{End, Record};
 use super::share::Admitted;
@@ -51,13 +50,13 @@
 
 /// Answer that a target streams.
 #[derive(Debug)]
-pub struct Stream<C: Clock, B: Counter> {
+pub struct Stream<C: Clock> {
     first: Option<Frame<Bytes>>,
     body: Incoming,
     ended: bool,
     /// Given back when the answer ends.
     ticket: Option<Ticket<C>>,
-    record: Record<C, B>,
+    record: Record<C>,
     deaths: Arc<Deaths<C>>,
     admitted: Option<Admitted<C>>,
     idle: Duration,
@@ -68,7 +67,7 @@
 
 /// What a streamed answer consists of.
 #[derive(Debug)]
-pub struct Parts<C: Clock, B: Counter> {
+pub struct Parts<C: Clock> {
     /// Frame that was read already.
     pub first: Option<Frame<Bytes>>,
     /// Rest of the answer.
@@ -76,7 +75,7 @@
     /// Place at the target.
     pub ticket: Ticket<C>,
     /// Record of the request.
-    pub record: Record<C, B>,
+    pub record: Record<C>,
     /// Told when the target dies.
     pub deaths: Arc<Deaths<C>>,
     /// Place within the account's limits.
@@ -89,19 +88,19 @@
 
 /// Body of an answer to a caller.
 #[derive(Debug)]
-pub struct Answer<C: Clock, B: Counter> {
-    kind: Kind<C, B>,
+pub struct Answer<C: Clock> {
+    kind: Kind<C>,
     /// Held until the answer ends.
     _progress: Progress,
 }
 
 #[derive(Debug)]
-enum Kind<C: Clock, B: Counter> {
+enum Kind<C: Clock> {
     Whole(Full<Bytes>),
-    Stream(Box<Stream<C, B>>),
+    Stream(Box<Stream<C>>),
 }
 
-impl<C: Clock, B: Counter> Answer<C, B> {
+impl<C: Clock> Answer<C> {
     /// Answer that is there as a whole.
     #[must_use]
     pub fn whole(body: Bytes, progress: Progress) -> Self {
@@ -113,7 +112,7 @@
 
     /// Answer that a target streams.
     #[must_use]
-    pub fn stream(parts: Parts<C, B>, progress: Progress) -> Self {
+    pub fn stream(parts: Parts<C>, progress: Progress) -> Self {
         let stream = Stream {
             first: parts.first,
             body: parts.body,
@@ -133,7 +132,7 @@
     }
 }
 
-impl<C: Clock, B: Counter> Stream<C, B> {
+impl<C: Clock> Stream<C> {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         if let Some(first) = self.first.take() {
             self.passed();
@@ -214,7 +213,7 @@
     }
 }
 
-impl<C: Clock, B: Counter> Body for Answer<C, B> {
+impl<C: Clock> Body for Answer<C> {
     type Data = Bytes;
     type Error = io::Error;
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -60,6 +60,9 @@
     wait: Duration,
     now: Instant,
 ) -> Result<Begun, Failure> {
+    if wait.is_zero() {
+        return Err(Failure::NotRun);
+    }
     let until = time::Instant::now() + wait;
     let mut sender = match time::timeout_at(until, ticket.link.sender()).await {
         Ok(Ok(sender)) => sender,
--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -5,22 +5,23 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, Version, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde_json::json;
 
 use super::Entry;
 use super::body::{Answer, Parts, Progress};
 use super::call::{self, Call, Place};
+use super::collect::{self, Collected};
 use super::dispatch::{self, Begun, Failure};
 use super::fair::Owner;
-use super::operation::{Counter, Journal, Operation, Permit, Receipt, Verdict};
+use super::operation::{Journal, Permit, Verdict};
 use super::pool::{TargetKey, Ticket, Want};
 use super::record::{End, Record};
 use super::reply::{self, Refusal};
 use super::share::Admitted;
 use super::suspect;
 use crate::clock::Clock;
+use crate::journal::Operation;
 use crate::platform;
 use crate::protocol::{self, Outcome};
 use crate::resource::service::{Backend, Class};
@@ -29,8 +30,6 @@
 const MAX_ATTEMPTS: u32 = 4;
 /// Longest request id that is taken over from a caller, bytes.
 const MAX_ID: usize = 64;
-/// Largest answer of an operation that is kept for callers that send it again.
-const MAX_RECEIPT: usize = 64 * 1024;
 
 /// An answer that began, with its place at the target.
 struct Started<C: Clock> {
@@ -38,11 +37,9 @@
     ticket: Ticket<C>,
 }
 
-type Log<C, B> = Record<C, B>;
-
-impl<C: Clock, J: Journal, B: Counter> Entry<C, J, B> {
+impl<C: Clock, J: Journal> Entry<C, J> {
     /// Answers one request of a caller.
-    pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Answer<C, B>> {
+    pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Answer<C>> {
         let progress = Progress::new(&self.ctx.board);
         let http1 = request.version() == Version::HTTP_11;
         let id = request_id(request.headers());
@@ -69,7 +66,7 @@
     async fn answer(
         self: &Arc<Self>,
         request: Request<Incoming>,
-        record: &mut Log<C, B>,
+        record: &mut Record<C>,
         in_progress: usize,
     ) -> Result<Reply<C>, Refusal> {
         if request.version() < Version::HTTP_11 {
@@ -107,7 +104,7 @@
     }
 
     /// Sends a request to targets until one answers.
-    async fn attempts(&self, call: &Call, record: &mut Log<C, B>) -> Result<Started<C>, Refusal> {
+    async fn attempts(&self, call: &Call, record: &mut Record<C>) -> Result<Started<C>, Refusal> {
         let pool = self.fleet.pool(&call.service.metadata.name);
         let pool = pool.ok_or(reply::UNAVAILABLE)?;
         let mut excluded: Vec<TargetKey> = Vec::new();
@@ -168,7 +165,7 @@
         self: &Arc<Self>,
         call: Call,
         admitted: Admitted<C>,
-        record: &mut Log<C, B>,
+        record: &mut Record<C>,
     ) -> Result<Reply<C>, Refusal> {
         let operation = Operation {
             account: call.account.metadata.name.clone(),
@@ -203,20 +200,20 @@
         &self,
         call: &Call,
         permit: J::Permit,
-        record: &mut Log<C, B>,
+        record: &mut Record<C>,
     ) -> Result<Response<Bytes>, Refusal> {
         let started = match self.attempts(call, record).await {
             Ok(started) => started,
             Err(refusal) => {
                 if refusal.outcome == Outcome::NotRun {
-                    permit.abort().await;
+                    permit.abort();
                 }
                 return Err(refusal);
             }
         };
         let limit = self.ctx.settings.limits.body_bytes;
         let wait = call.deadline.saturating_duration_since(self.clock.now());
-        let answer = tokio::time::timeout(wait, collect(started.begun, limit)).await;
+        let answer = tokio::time::timeout(wait, collect::collect(started.begun, limit)).await;
         let Ok(answer) = answer else {
             started.ticket.late();
             return Err(reply::DEADLINE);
@@ -224,11 +221,11 @@
         match answer {
             Collected::Whole(answer) => {
                 started.ticket.ended();
-                permit.complete(receipt(&answer)).await;
+                permit.complete(collect::receipt(&answer));
                 Ok(answer)
             }
             Collected::TooLarge => {
-                permit.complete(too_large()).await;
+                permit.complete(collect::too_large());
                 Err(reply::ANSWER_SIZE)
             }
             Collected::Cut => {
@@ -243,9 +240,9 @@
         started: Started<C>,
         admitted: Admitted<C>,
         call: &Call,
-        mut record: Log<C, B>,
+        mut record: Record<C>,
         progress: Progress,
-    ) -> Response<Answer<C, B>> {
+    ) -> Response<Answer<C>> {
         let Begun { head, first, body } = started.begun;
         record.status = head.status.as_u16();
         let idle = Duration::from_millis(self.ctx.settings.limits.idle_ms);
@@ -274,7 +271,7 @@
         let mut response = Response::new(answer);
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
-        clean(response.headers_mut());
+        collect::clean(response.headers_mut());
         response
     }
 
@@ -297,67 +294,11 @@
     Stream(Box<Started<C>>, Admitted<C>, Box<Call>),
 }
 
-enum Collected {
-    Whole(Response<Bytes>),
-    TooLarge,
-    Cut,
-}
-
-/// Reads an answer to its end.
-async fn collect(begun: Begun, limit: usize) -> Collected {
-    let first = begun.first.and_then(|f| f.into_data().ok());
-    let first = first.unwrap_or_default();
-    let left = limit.saturating_sub(first.len());
-    let rest = match Limited::new(begun.body, left).collect().await {
-        Ok(rest) => rest.to_bytes(),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => return Collected::TooLarge,
-        Err(_) => return Collected::Cut,
-    };
-    let body = [first, rest].concat();
-    let mut answer = Response::new(Bytes::from(body));
-    *answer.status_mut() = begun.head.status;
-    *answer.headers_mut() = begun.head.headers;
-    clean(answer.headers_mut());
-    Collected::Whole(answer)
-}
-
-/// Headers of a target's answer as the caller gets them.
-fn clean(headers: &mut HeaderMap) {
-    protocol::remove_hop_by_hop(headers);
-    headers.remove(protocol::REASON);
-    headers.insert(protocol::OUTCOME, protocol::value(Outcome::Done.name()));
-}
-
-fn receipt(answer: &Response<Bytes>) -> Receipt {
-    let kind = answer.headers().get(header::CONTENT_TYPE);
-    let kind = kind.and_then(|v| v.to_str().ok()).unwrap_or_default();
-    let truncated = answer.body().len() > MAX_RECEIPT;
-    Receipt {
-        status: answer.status().as_u16(),
-        content_type: kind.to_owned(),
-        body: if truncated {
-            Bytes::new()
-        } else {
-            answer.body().clone()
-        },
-        truncated,
-    }
-}
-
-fn too_large() -> Receipt {
-    Receipt {
-        status: StatusCode::OK.as_u16(),
-        content_type: String::new(),
-        body: Bytes::new(),
-        truncated: true,
-    }
-}
-
-fn whole<C: Clock, B: Counter>(
+fn whole<C: Clock>(
     answer: Response<Bytes>,
-    mut record: Log<C, B>,
+    mut record: Record<C>,
     progress: Progress,
-) -> Response<Answer<C, B>> {
+) -> Response<Answer<C>> {
     record.status = answer.status().as_u16();
     let outcome = Outcome::of(answer.headers()).unwrap_or(Outcome::Done);
     record.finish(outcome.into());
--- a/src/entry/operation.rs
+++ b/src/entry/operation.rs
@@ -1,37 +1,9 @@
-//! What the request path needs from the journal and the service-level counter.
+//! What the request path needs from the journal of at-most-once operations.
 
 use std::future::Future;
 use std::time::Instant;
 
-use bytes::Bytes;
-
-use crate::digest::Digest;
-
-/// An operation that must run at most once.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Operation {
-    /// Client account.
-    pub account: String,
-    /// Service.
-    pub service: String,
-    /// Idempotency key.
-    pub key: String,
-    /// Digest of method, path and body.
-    pub fingerprint: Digest,
-}
-
-/// Answer of an operation, for callers that send it again.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Receipt {
-    /// HTTP status.
-    pub status: u16,
-    /// Media type of the body.
-    pub content_type: String,
-    /// Body; empty when it was too large to keep.
-    pub body: Bytes,
-    /// Whether the body was too large to keep.
-    pub truncated: bool,
-}
+use crate::journal::{self, Operation, Receipt, Reservation};
 
 /// What the journal says about an operation.
 #[derive(Debug)]
@@ -55,7 +27,7 @@
     /// Right to dispatch one operation once.
     type Permit: Permit;
 
-    /// Asks for the right to dispatch `operation`.
+    /// Asks for the right to dispatch `operation` before `deadline`.
     fn reserve(
         &self,
         operation: Operation,
@@ -67,28 +39,35 @@
 /// operation may have run.
 pub trait Permit: Send + 'static {
     /// Keeps the answer.
-    fn complete(self, receipt: Receipt) -> impl Future<Output = ()> + Send;
+    fn complete(self, receipt: Receipt);
     /// The operation was certainly not run; its key is free again.
-    fn abort(self) -> impl Future<Output = ()> + Send;
+    fn abort(self);
 }
 
-/// How a request ended, for service-level counting.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Quality {
-    /// Complete, and begun within the objective.
-    Good,
-    /// Complete, but begun late.
-    Late,
-    /// Not run.
-    Refused,
-    /// Broken off.
-    Failed,
-    /// It may have run.
-    Unknown,
+impl Journal for journal::Handle {
+    type Permit = journal::Permit;
+
+    async fn reserve(&self, operation: Operation, deadline: Instant) -> Verdict<Self::Permit> {
+        match journal::Handle::reserve(self, operation, deadline).await {
+            Reservation::Fresh(permit) => Verdict::Fresh(permit),
+            Reservation::Done(receipt) => Verdict::Done(receipt),
+            Reservation::InProgress => Verdict::InProgress,
+            Reservation::Unknown => Verdict::Unknown,
+            Reservation::Mismatch => Verdict::Mismatch,
+            Reservation::Unavailable { reason } => {
+                log::warn!(reason = reason.as_str(); "operation not reserved");
+                Verdict::Unavailable
+            }
+        }
+    }
 }
 
-/// Counter of service-level outcomes.
-pub trait Counter: Clone + Send + Sync + 'static {
-    /// Counts one request.
-    fn record(&self, service: &str, account: &str, quality: Quality);
+impl Permit for journal::Permit {
+    fn complete(self, receipt: Receipt) {
+        journal::Permit::complete(self, receipt);
+    }
+
+    fn abort(self) {
+        journal::Permit::abort(self);
+    }
 }
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::operation::{Counter, Quality};
+use crate::burn::{self, Outcome as Quality};
 use crate::clock::Clock;
 use crate::protocol::Outcome;
 
@@ -47,9 +47,9 @@
 
 /// Record of one request, written once at its end.
 #[derive(Debug)]
-pub struct Record<C: Clock, B: Counter> {
+pub struct Record<C: Clock> {
     clock: C,
-    counter: B,
+    counter: burn::Counter,
     started: Instant,
     /// Identifier.
     pub id: String,
@@ -73,10 +73,10 @@
     written: bool,
 }
 
-impl<C: Clock, B: Counter> Record<C, B> {
+impl<C: Clock> Record<C> {
     /// Record of a request that just arrived.
     #[must_use]
-    pub fn new(id: String, clock: C, counter: B) -> Self {
+    pub fn new(id: String, clock: C, counter: burn::Counter) -> Self {
         Self {
             started: clock.now(),
             clock,
@@ -154,13 +154,10 @@
     }
 
     fn measure(&self, end: End, elapsed: Duration) {
-        let service = self.service.clone();
-        let labels = [("service", service.clone()), ("outcome", end.name().into())];
-        metrics::counter!("corianderramp_requests_total", &labels).increment(1);
         if end != End::Done {
             return;
         }
-        let label = [("service", service)];
+        let label = [("service", self.service.clone())];
         let first = self.first_byte.unwrap_or(elapsed);
         metrics::histogram!("corianderramp_first_byte_seconds", &label).record(first);
         metrics::histogram!("corianderramp_request_duration_seconds", &label).record(elapsed);
@@ -173,7 +170,7 @@
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
-impl<C: Clock, B: Counter> Drop for Record<C, B> {
+impl<C: Clock> Drop for Record<C> {
     fn drop(&mut self) {
         self.finish(End::CallerGone);
     }
--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -4,9 +4,9 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use serde_json::json;
 
-use super::operation::Receipt;
 use super::pool::Denied;
 use super::share::Excess;
+use crate::journal::Receipt;
 use crate::protocol::{self, Outcome};
 
 /// Why a request got no answer of a target.
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -12,7 +12,7 @@
 use tokio::time;
 
 use super::Entry;
-use super::operation::{Counter, Journal};
+use super::operation::Journal;
 use super::stall::Stall;
 use crate::blackboard::Phase;
 use crate::clock::Clock;
@@ -29,10 +29,7 @@
 const MIN_HEADER: usize = 8192;
 
 /// Serves callers until the planned stop.
-pub async fn run<C: Clock, J: Journal, B: Counter>(
-    listener: TcpListener,
-    entry: Arc<Entry<C, J, B>>,
-) {
+pub async fn run<C: Clock, J: Journal>(listener: TcpListener, entry: Arc<Entry<C, J>>) {
     let stopping = async {
         entry.wait_stopping().await;
         time::sleep(NOTICE).await;
@@ -55,11 +52,11 @@
     }
 }
 
-fn spawn<C: Clock, J: Journal, B: Counter>(stream: TcpStream, entry: &Arc<Entry<C, J, B>>) {
+fn spawn<C: Clock, J: Journal>(stream: TcpStream, entry: &Arc<Entry<C, J>>) {
     tokio::spawn(serve(stream, entry.clone()));
 }
 
-async fn serve<C: Clock, J: Journal, B: Counter>(stream: TcpStream, entry: Arc<Entry<C, J, B>>) {
+async fn serve<C: Clock, J: Journal>(stream: TcpStream, entry: Arc<Entry<C, J>>) {
     let _ = stream.set_nodelay(true);
     let limits = &entry.ctx.settings.limits;
     let header_time = Duration::from_millis(limits.header_ms);
@@ -96,7 +93,7 @@
     let _ = connection.await;
 }
 
-impl<C: Clock, J: Journal, B: Counter> Entry<C, J, B> {
+impl<C: Clock, J: Journal> Entry<C, J> {
     /// Whether a planned stop has begun.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! their own process; `standins` runs each as a process of its own.
 
 pub mod args;
+pub mod caller;
 pub mod content;
 pub mod engine;
 pub mod experiment;
@@ -11,5 +12,6 @@
 pub mod origin;
 pub mod platform;
 pub mod relay;
+pub mod rig;
 pub mod service;
 pub mod toolkit;
