--- a/src/agent/forward.rs
+++ b/src/agent/forward.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
@@ -35,6 +36,27 @@
     }
 }
 
+/// Keeps the target for one request until it is dropped.
+#[derive(Debug)]
+pub struct Alone {
+    kept: Arc<AtomicBool>,
+}
+
+impl Alone {
+    /// Keeps the target, unless it is kept already.
+    #[must_use]
+    pub fn new(kept: &Arc<AtomicBool>) -> Option<Self> {
+        let taken = kept.swap(true, Ordering::SeqCst);
+        (!taken).then(|| Self { kept: kept.clone() })
+    }
+}
+
+impl Drop for Alone {
+    fn drop(&mut self) {
+        self.kept.store(false, Ordering::SeqCst);
+    }
+}
+
 impl Drop for Active {
     fn drop(&mut self) {
         self.board.active.send_modify(|n| *n = n.saturating_sub(1));
@@ -52,6 +74,8 @@
         body: Incoming,
         /// Held until the answer ends.
         _active: Active,
+        /// Held until the answer ends, for a request that runs alone.
+        _alone: Option<Alone>,
         /// Told when the target breaks the answer off.
         broken: Arc<Notify>,
     },
--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -8,6 +8,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,7 +23,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time;
 
-use super::forward::{Active, Forwarded};
+use super::forward::{Active, Alone, Forwarded};
 use crate::blackboard::{Phase, Serving};
 use crate::daemon::Context;
 use crate::protocol::{self, Reason};
@@ -41,6 +42,8 @@
 const ADMITTED_PER_SLOT: u32 = 2;
 /// Time allowed for connecting to the target on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Twice the time that a request without a deadline waits to run alone.
+const RESERVE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time without use after which a connection to the target is closed. Servers
 /// close idle connections themselves, and a request that meets the closing is lost.
 const POOL_IDLE: Duration = Duration::from_secs(2);
@@ -55,6 +58,8 @@
     slots: u32,
     draining: watch::Receiver<bool>,
     broken: Arc<Notify>,
+    /// Whether the target is kept for a request that runs alone.
+    kept: Arc<AtomicBool>,
 }
 
 /// What an admission depends on.
@@ -72,6 +77,8 @@
     pub active: u32,
     /// Requests that the target runs at the same time.
     pub slots: u32,
+    /// Whether the target is kept for another request.
+    pub reserved: bool,
 }
 
 /// Admits a request, or says why not. Returns the `model@version` that the
@@ -89,6 +96,9 @@
     if state.phase == Phase::Starting {
         return Err(Reason::Starting);
     }
+    if state.reserved {
+        return Err(Reason::Reserved);
+    }
     if state.active > state.slots.saturating_mul(ADMITTED_PER_SLOT) {
         return Err(Reason::Full);
     }
@@ -120,6 +130,7 @@
         slots: target.slots,
         draining,
         broken,
+        kept: Arc::default(),
     });
     let stop = ctx.stop.clone();
     tokio::spawn(async move { stop.run_until_cancelled(accept(listener, gate)).await });
@@ -172,15 +183,38 @@
 impl Gate {
     async fn handle(&self, request: Request<Incoming>) -> Response<Forwarded> {
         let active = Active::new(&self.ctx.board);
+        let alone = if request.headers().contains_key(protocol::ALONE) {
+            match self.reserve(request.headers()).await {
+                Some(alone) => Some(alone),
+                None => return refusal(Reason::Reserved),
+            }
+        } else {
+            None
+        };
         let wanted = request.headers().get(protocol::VERSION);
         let wanted = wanted.and_then(|v| v.to_str().ok());
-        match admit(&self.state(&active), wanted) {
-            Ok(version) => self.forward(request, active, version).await,
+        match admit(&self.state(&active, alone.is_some()), wanted) {
+            Ok(version) => self.forward(request, active, alone, version).await,
             Err(reason) => refusal(reason),
         }
     }
 
-    fn state(&self, active: &Active) -> State {
+    /// Keeps the target for one request and waits until the others have ended.
+    /// Others are refused as soon as the target is kept, so the wait is bounded
+    /// by the requests that are in progress.
+    async fn reserve(&self, headers: &HeaderMap) -> Option<Alone> {
+        let alone = Alone::new(&self.kept)?;
+        let timeout = headers.get(protocol::TIMEOUT).and_then(|v| v.to_str().ok());
+        let timeout = timeout.and_then(|v| v.parse().ok());
+        // The other half is left for running it.
+        let wait = timeout.map_or(RESERVE_TIMEOUT, Duration::from_millis) / 2;
+        let mut active = self.ctx.board.active.subscribe();
+        let only = active.wait_for(|n| *n <= 1);
+        time::timeout(wait, only).await.ok()?.ok()?;
+        Some(alone)
+    }
+
+    fn state(&self, active: &Active, alone: bool) -> State {
         let view = self.ctx.board.view();
         let service = super::own_service(&self.ctx, &view);
         State {
@@ -190,6 +224,7 @@
             serving: self.ctx.board.serving.borrow().clone(),
             active: active.count(),
             slots: self.slots,
+            reserved: !alone && self.kept.load(Ordering::SeqCst),
         }
     }
 
@@ -197,6 +232,7 @@
         &self,
         request: Request<Incoming>,
         active: Active,
+        alone: Option<Alone>,
         version: Option<String>,
     ) -> Response<Forwarded> {
         let head = request.method() == Method::HEAD;
@@ -225,6 +261,7 @@
         let body = Forwarded::Target {
             body,
             _active: active,
+            _alone: alone,
             broken,
         };
         Response::from_parts(parts, body)
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -87,9 +87,8 @@
         clock,
     });
     let deaths = entry.deaths.clone();
-    let on_death = move |death| {
-        let deaths = deaths.clone();
-        tokio::spawn(async move { deaths.report(death).await });
+    let on_death = move |death: target::Death| {
+        tokio::spawn(deaths.report(&death));
     };
     spawn(ctx, entry.fleet.clone().follow(on_death));
     spawn(ctx, entry.fleet.clone().tick());
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -3,13 +3,14 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::task::JoinHandle;
 use tokio::time::{self, Instant, Sleep};
 
 use super::deaths::Deaths;
@@ -63,6 +64,8 @@
     /// Ends an answer without progress, or after the caller's deadline.
     timer: Pin<Box<Sleep>>,
     end: Option<Instant>,
+    /// Finds out why the answer broke off.
+    judging: Option<JoinHandle<()>>,
 }
 
 /// What a streamed answer consists of.
@@ -124,6 +127,7 @@
             idle: parts.idle,
             timer: Box::pin(time::sleep(parts.idle)),
             end: parts.end,
+            judging: None,
         };
         Self {
             kind: Kind::Stream(Box::new(stream)),
@@ -138,6 +142,9 @@
             self.passed();
             return Poll::Ready(Some(Ok(first)));
         }
+        if self.judging.is_some() {
+            return self.poll_judging(cx);
+        }
         if self.ended {
             return Poll::Ready(None);
         }
@@ -146,9 +153,9 @@
                 self.passed();
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(e))) => {
+            Poll::Ready(Some(Err(_))) => {
                 self.cut();
-                Poll::Ready(Some(Err(io::Error::other(e))))
+                self.poll_judging(cx)
             }
             Poll::Ready(None) => {
                 self.done();
@@ -158,6 +165,20 @@
         }
     }
 
+    /// Holds the error back until the other entries know of a death, so that a
+    /// request sent again meets the suspicion.
+    fn poll_judging(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if let Some(judging) = &mut self.judging {
+            let _ = ready!(Pin::new(judging).poll(cx));
+        }
+        self.judging = None;
+        let cut = io::Error::new(io::ErrorKind::ConnectionAborted, "the target broke off");
+        Poll::Ready(Some(Err(cut)))
+    }
+
     fn poll_timer(
         &mut self,
         cx: &mut Context<'_>,
@@ -208,7 +229,8 @@
         self.admitted = None;
         if let Some(ticket) = self.ticket.take() {
             let deaths = self.deaths.clone();
-            tokio::spawn(async move { deaths.judge(&ticket).await });
+            let judging = tokio::spawn(async move { deaths.judge(&ticket).await });
+            self.judging = Some(judging);
         }
     }
 }
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -213,6 +213,7 @@
         protocol::OUTCOME,
         protocol::VERSION,
         protocol::REASON,
+        protocol::ALONE,
         protocol::REQUEST_ID,
         protocol::TIMEOUT,
     ] {
--- a/src/entry/deaths.rs
+++ b/src/entry/deaths.rs
@@ -61,8 +61,9 @@
         }
     }
 
-    /// Charges the requests that were in flight and tells the other entries.
-    pub async fn report(&self, death: Death) {
+    /// Charges the requests that were in flight, before any of them can be sent
+    /// again; the returned future tells the other entries.
+    pub fn report(&self, death: &Death) -> impl Future<Output = ()> + Send + use<C> {
         let charges: Vec<Charge> = death
             .in_flight
             .iter()
@@ -72,9 +73,6 @@
                 death: death.id.clone(),
             })
             .collect();
-        if charges.is_empty() {
-            return;
-        }
         log::warn!(death = death.id.as_str(), in_flight = charges.len(); "target died");
         metrics::counter!("corianderramp_target_deaths_total").increment(1);
         let suspects = charges.iter().map(|c| pb::Suspect {
@@ -86,13 +84,19 @@
             suspects: suspects.collect(),
         };
         self.charge(charges);
-        let calls = self.others().into_iter().map(|address| {
-            let mut client = SharesClient::new(self.ctx.pool.channel(address));
-            let request = request.clone();
-            async move { client.suspect(request).await }
-        });
-        let all = futures_util::future::join_all(calls);
-        let _ = time::timeout(SPREAD_TIMEOUT, all).await;
+        let (others, pool) = (self.others(), self.ctx.pool.clone());
+        async move {
+            if request.suspects.is_empty() {
+                return;
+            }
+            let calls = others.into_iter().map(|address| {
+                let mut client = SharesClient::new(pool.channel(address));
+                let request = request.clone();
+                async move { client.suspect(request).await }
+            });
+            let all = futures_util::future::join_all(calls);
+            let _ = time::timeout(SPREAD_TIMEOUT, all).await;
+        }
     }
 
     /// Finds out whether a request broke because its target died, and reports
@@ -110,7 +114,7 @@
             matches!(renewed, Err(link::Error::Refused { .. }))
         };
         if died && let Some(death) = ticket.died() {
-            self.report(death).await;
+            self.report(&death).await;
         }
     }
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -1,6 +1,6 @@
 //! One attempt: sends a request to one target and waits until the answer begins.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Uri, response};
@@ -49,7 +49,8 @@
 }
 
 /// Sends `call` to the ticket's target and waits up to `wait` for the beginning
-/// of the answer.
+/// of the answer. After an attempt that broke or hung, `fresh` asks for a new
+/// connection.
 ///
 /// # Errors
 /// Says whether the request may have run.
@@ -58,13 +59,20 @@
     ticket: &Ticket<C>,
     deaths: &Deaths<C>,
     wait: Duration,
-    now: Instant,
+    fresh: bool,
 ) -> Result<Begun, Failure> {
     if wait.is_zero() {
         return Err(Failure::NotRun);
     }
     let until = time::Instant::now() + wait;
-    let mut sender = match time::timeout_at(until, ticket.link.sender()).await {
+    let open = async {
+        if fresh {
+            ticket.link.fresh().await
+        } else {
+            ticket.link.sender().await
+        }
+    };
+    let mut sender = match time::timeout_at(until, open).await {
         Ok(Ok(sender)) => sender,
         Ok(Err(e)) => {
             log::warn!(target_vm = ticket.vm.as_str(), error:% = e; "agent unreachable");
@@ -73,7 +81,7 @@
         }
         Err(_) => return Err(Failure::NotRun),
     };
-    let Some(request) = request(call, ticket, now) else {
+    let Some(request) = request(call, ticket, wait) else {
         return Err(Failure::NotRun);
     };
     let answer = match time::timeout_at(until, sender.try_send_request(request)).await {
@@ -142,7 +150,7 @@
 fn request<C: Clock>(
     call: &Call,
     ticket: &Ticket<C>,
-    now: Instant,
+    wait: Duration,
 ) -> Option<Request<Full<Bytes>>> {
     let uri = Uri::builder()
         .scheme("http")
@@ -153,17 +161,20 @@
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = uri;
-    *request.headers_mut() = headers(call, ticket, now);
+    *request.headers_mut() = headers(call, ticket, wait);
     Some(request)
 }
 
-fn headers<C: Clock>(call: &Call, ticket: &Ticket<C>, now: Instant) -> HeaderMap {
+fn headers<C: Clock>(call: &Call, ticket: &Ticket<C>, wait: Duration) -> HeaderMap {
     let mut headers = call.headers.clone();
     headers.insert(protocol::REQUEST_ID, protocol::value(&call.id));
     if !ticket.version.is_empty() {
         headers.insert(protocol::VERSION, protocol::value(&ticket.version));
     }
-    let left = call.deadline.saturating_duration_since(now).as_millis();
-    headers.insert(protocol::TIMEOUT, protocol::value(&left.to_string()));
+    if ticket.alone {
+        headers.insert(protocol::ALONE, protocol::value("1"));
+    }
+    let left = wait.as_millis().to_string();
+    headers.insert(protocol::TIMEOUT, protocol::value(&left));
     headers
 }
--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -132,7 +132,8 @@
             record.version.clone_from(&ticket.version);
             let now = self.clock.now();
             let wait = attempt_wait(call, record.attempt, now);
-            match dispatch::send(call, &ticket, &self.deaths, wait, now).await {
+            let fresh = last != Failure::NotRun;
+            match dispatch::send(call, &ticket, &self.deaths, wait, fresh).await {
                 Ok(begun) => {
                     record.first_byte();
                     return Ok(Started { begun, ticket });
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -20,6 +20,8 @@
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time allowed for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Age up to which a connection counts as new.
+const NEW: Duration = Duration::from_millis(500);
 /// Flow-control window of a stream, bytes.
 const WINDOW_BYTES: u32 = 1024 * 1024;
 
@@ -58,7 +60,7 @@
 pub struct Link {
     address: SocketAddr,
     bind: Option<IpAddr>,
-    current: Mutex<Option<Sender>>,
+    current: Mutex<Option<(Sender, Instant)>>,
     /// Time that the last connection took to open, the round trip.
     delay: Mutex<Option<Duration>>,
     /// Lets one request open a connection while the others wait for it.
@@ -102,9 +104,20 @@
         if let Some(sender) = self.open() {
             return Ok(sender);
         }
-        let sender = self.connect().await?;
-        *self.current.lock() = Some(sender.clone());
-        Ok(sender)
+        self.replace().await
+    }
+
+    /// Connection that was opened just now, for a request that already met a
+    /// silent one: whatever silenced that may have silenced this one too.
+    ///
+    /// # Errors
+    /// Fails when no new connection can be opened.
+    pub async fn fresh(&self) -> Result<Sender, Error> {
+        let _one = self.opening.acquire().await;
+        if let Some(sender) = self.opened_within(NEW) {
+            return Ok(sender);
+        }
+        self.replace().await
     }
 
     /// Leaves the current connection to its requests and opens a new one, to
@@ -113,11 +126,7 @@
     /// # Errors
     /// Fails when no new connection can be opened.
     pub async fn renew(&self) -> Result<(), Error> {
-        let _one = self.opening.acquire().await;
-        *self.current.lock() = None;
-        let sender = self.connect().await?;
-        *self.current.lock() = Some(sender);
-        Ok(())
+        self.fresh().await.map(drop)
     }
 
     /// Whether the current connection is open.
@@ -127,8 +136,22 @@
     }
 
     fn open(&self) -> Option<Sender> {
+        self.opened_within(Duration::MAX)
+    }
+
+    fn opened_within(&self, age: Duration) -> Option<Sender> {
         let current = self.current.lock();
-        current.as_ref().filter(|s| !s.is_closed()).cloned()
+        let (sender, opened) = current.as_ref()?;
+        let usable = !sender.is_closed() && opened.elapsed() <= age;
+        usable.then(|| sender.clone())
+    }
+
+    /// Opens a connection in place of the current one, whose requests go on.
+    async fn replace(&self) -> Result<Sender, Error> {
+        *self.current.lock() = None;
+        let sender = self.connect().await?;
+        *self.current.lock() = Some((sender.clone(), Instant::now()));
+        Ok(sender)
     }
 
     async fn connect(&self) -> Result<Sender, Error> {
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -239,7 +239,7 @@
         let now = pool.clock.now();
         let fits = |t: &Target| {
             if want.alone {
-                t.is_idle(now)
+                t.is_empty()
             } else {
                 t.has_room()
             }
@@ -342,6 +342,7 @@
             Some(Reason::Draining | Reason::Starting) => t.on_draining(),
             Some(Reason::Version) => t.on_other_version(&self.version),
             Some(Reason::Full) => t.limiter.on_overload(now),
+            Some(Reason::Reserved) => {}
             _ => t.on_unreachable(now),
         });
     }
--- a/src/entry/share.rs
+++ b/src/entry/share.rs
@@ -25,15 +25,15 @@
 const DECAY: f64 = 0.26;
 /// Time that a demand counts at the dividing entry.
 const DEMAND_LIFETIME: Duration = Duration::from_secs(4);
-/// Part of a limit that is split evenly when demand exceeds it, so that an
-/// entry with new demand has something to begin with.
+/// Part of a limit that is split evenly whatever the demand, so that an entry
+/// with new demand has something to begin with.
 const EVEN_PART: f64 = 0.1;
 /// Calls for an account go on this long after its last request.
 const ACCOUNT_LIFETIME: Duration = Duration::from_secs(10);
 /// Requests that may come at once, in seconds of the rate.
 const BURST_SECONDS: f64 = 1.0;
 /// Smallest burst, so that a share below one request per second admits any.
-const MIN_BURST: f64 = 2.0;
+const MIN_BURST: f64 = 1.0;
 
 /// Share of an account's limits.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -44,31 +44,62 @@
     pub concurrency: f64,
 }
 
-/// Demand that one entry reported for an account.
+/// Demand that one entry reported for an account, and what it was granted.
 #[derive(Clone, Debug)]
 pub struct Demand {
     account: String,
     vm: String,
     rate: f64,
+    granted: f64,
     at: Instant,
 }
 
+/// What the dividing entry knows about one account.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Claim {
+    /// Limit of the account.
+    pub limit: f64,
+    /// Demand of the asking entry.
+    pub own: f64,
+    /// Demand of all entries.
+    pub total: f64,
+    /// What other entries that asked hold until they ask again.
+    pub held: f64,
+    /// Other entries that asked.
+    pub askers: u32,
+    /// All entries.
+    pub entries: u32,
+}
+
 /// Divides a limit: each entry gets its demand and an equal part of what is
-/// left, or a part in proportion to its demand when that is more than the limit.
+/// left, or a part in proportion to its demand when that is more than the
+/// limit, but only what no other entry holds. So the shares never add up to
+/// more than the limit.
 ///
 /// ```
 /// use corianderramp::entry::share;
 ///
-/// assert!((share::divide(100.0, 10.0, 30.0, 5) - 24.0).abs() < 1e-9);
-/// assert!((share::divide(100.0, 300.0, 400.0, 5) - 69.5).abs() < 1e-9);
+/// let quiet = share::Claim {
+///     limit: 100.0, own: 10.0, total: 30.0, held: 0.0, askers: 4, entries: 5,
+/// };
+/// assert!((share::divide(quiet) - 24.0).abs() < 1e-9);
+/// let busy = share::Claim { own: 300.0, total: 400.0, ..quiet };
+/// assert!((share::divide(busy) - 69.5).abs() < 1e-9);
+/// let late = share::Claim { held: 90.0, ..busy };
+/// assert!((share::divide(late) - 10.0).abs() < 1e-9);
 /// ```
 #[must_use]
-pub fn divide(limit: f64, own: f64, total: f64, entries: u32) -> f64 {
-    let entries = f64::from(entries.max(1));
-    if total <= limit {
-        return own + (limit - total) / entries;
-    }
-    limit * ((1.0 - EVEN_PART) * own / total + EVEN_PART / entries)
+pub fn divide(claim: Claim) -> f64 {
+    let entries = f64::from(claim.entries.max(1));
+    let reserve = claim.limit * EVEN_PART / entries;
+    let fair = if claim.total <= claim.limit {
+        claim.own + (claim.limit - claim.total) / entries
+    } else {
+        claim.limit * (1.0 - EVEN_PART) * claim.own / claim.total + reserve
+    };
+    let silent = claim.entries.saturating_sub(claim.askers + 1);
+    let free = claim.limit - claim.held - reserve * f64::from(silent);
+    fair.min(free).max(reserve)
 }
 
 #[derive(Debug)]
@@ -147,7 +178,7 @@
         let now = self.clock.now();
         let mut locals = self.locals.lock();
         let index = find(&locals, account).unwrap_or_else(|i| {
-            let share = even(limits, self.entries());
+            let share = first(limits, self.entries());
             locals.insert(i, Local::new(account, share, now));
             self.appeared.notify_one();
             i
@@ -185,32 +216,41 @@
     pub fn answer(&self, account: &str, vm: &str, demand: f64) -> Option<Share> {
         let view = self.ctx.board.view();
         let limits = &config::find(&view.accounts, account)?.spec;
-        let now = self.clock.now();
-        let total = self.note(account, vm, demand.max(0.0), now);
-        let rate = divide(limits.rate, demand.max(0.0), total, self.entries());
+        let rate = self.grant(account, vm, demand.max(0.0), limits.rate);
         let concurrency = f64::from(limits.concurrency) * rate / limits.rate;
         Some(Share { rate, concurrency })
     }
 
-    /// Keeps a demand; returns the total demand for the account.
-    fn note(&self, account: &str, vm: &str, rate: f64, now: Instant) -> f64 {
+    /// Keeps a demand and what is granted for it.
+    fn grant(&self, account: &str, vm: &str, own: f64, limit: f64) -> f64 {
+        let now = self.clock.now();
         let mut demands = self.demands.lock();
         demands.retain(|d| now.saturating_duration_since(d.at) < DEMAND_LIFETIME);
+        let others = || {
+            let same = demands.iter().filter(|d| d.account == account);
+            same.filter(|d| d.vm != vm)
+        };
+        let granted = divide(Claim {
+            limit,
+            own,
+            total: own + others().map(|d| d.rate).sum::<f64>(),
+            held: others().map(|d| d.granted).sum(),
+            askers: u32::try_from(others().count()).unwrap_or(u32::MAX),
+            entries: self.entries(),
+        });
+        let demand = Demand {
+            account: account.to_owned(),
+            vm: vm.to_owned(),
+            rate: own,
+            granted,
+            at: now,
+        };
         let key = |d: &Demand| (d.account.as_str(), d.vm.as_str()).cmp(&(account, vm));
         match demands.binary_search_by(key) {
-            Ok(i) => (demands[i].rate, demands[i].at) = (rate, now),
-            Err(i) => {
-                let demand = Demand {
-                    account: account.to_owned(),
-                    vm: vm.to_owned(),
-                    rate,
-                    at: now,
-                };
-                demands.insert(i, demand);
-            }
+            Ok(i) => demands[i] = demand,
+            Err(i) => demands.insert(i, demand),
         }
-        let same = demands.iter().filter(|d| d.account == account);
-        same.map(|d| d.rate).sum()
+        granted
     }
 
     fn entries(&self) -> u32 {
@@ -302,6 +342,15 @@
     }
 }
 
+/// Share of an entry that has not asked yet: the part that is kept for it.
+fn first(limits: &Account, entries: u32) -> Share {
+    let even = even(limits, entries);
+    Share {
+        rate: even.rate * EVEN_PART,
+        concurrency: even.concurrency * EVEN_PART,
+    }
+}
+
 fn even(limits: &Account, entries: u32) -> Share {
     let entries = f64::from(entries.max(1));
     Share {
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -23,8 +23,6 @@
 const SMOOTHING: f64 = 0.1;
 /// Duration of a request, until the first one ended, seconds.
 const UNKNOWN_DURATION: f64 = 0.05;
-/// Estimated requests of other entries below which a target counts as idle.
-const IDLE: f64 = 0.5;
 
 /// A request of this entry at a target.
 #[derive(Clone, Debug)]
@@ -130,12 +128,11 @@
         !kept_free && self.flights.len() < self.limiter.limit()
     }
 
-    /// Whether no request seems to be in progress.
+    /// Whether this entry has no request there. The agent waits for those of
+    /// other entries before it runs a request alone.
     #[must_use]
-    pub fn is_idle(&self, now: Instant) -> bool {
-        let load = self.load(now);
-        let others = load.others * (-load.age).exp2();
-        self.flights.is_empty() && self.alone.is_none() && others < IDLE
+    pub fn is_empty(&self) -> bool {
+        self.flights.is_empty() && self.alone.is_none()
     }
 
     /// `model@version` that it serves; empty for plain services.
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -8,6 +8,8 @@
 pub const VERSION: HeaderName = HeaderName::from_static("corianderramp-version");
 /// Why an agent refused a request or gave it up, see [`Reason`].
 pub const REASON: HeaderName = HeaderName::from_static("corianderramp-reason");
+/// Present on a request that must not share its target with another one.
+pub const ALONE: HeaderName = HeaderName::from_static("corianderramp-alone");
 /// `model@version` that an engine used.
 pub const MODEL_VERSION: HeaderName = HeaderName::from_static("x-model-version");
 /// Identifier of a request.
@@ -61,6 +63,8 @@
     Version,
     /// The target has as many requests as it takes.
     Full,
+    /// The target is kept for a request that must run alone.
+    Reserved,
     /// The target can't be reached.
     Unreachable,
     /// The target broke the connection.
@@ -69,11 +73,12 @@
     Answer,
 }
 
-const REASONS: [(Reason, &str); 7] = [
+const REASONS: [(Reason, &str); 8] = [
     (Reason::Starting, "starting"),
     (Reason::Draining, "draining"),
     (Reason::Version, "version"),
     (Reason::Full, "full"),
+    (Reason::Reserved, "reserved"),
     (Reason::Unreachable, "unreachable"),
     (Reason::Broken, "broken"),
     (Reason::Answer, "answer"),
--- a/standins/src/engine/routes.rs
+++ b/standins/src/engine/routes.rs
@@ -192,8 +192,14 @@
 
 async fn collected(mut tokens: mpsc::Receiver<String>, job: &Job, version: &str) -> Response<Body> {
     let mut text = String::new();
+    let mut sent = 0;
     while let Some(token) = tokens.recv().await {
         text.push_str(&token);
+        sent += 1;
+    }
+    if sent < job.tokens.max(2) {
+        // The engine crashed, which is about to cut the connection.
+        return std::future::pending().await;
     }
     toolkit::json(StatusCode::OK, &generate::whole(job, version, &text))
 }
--- a/standins/tests/path.rs
+++ b/standins/tests/path.rs
@@ -53,7 +53,7 @@
         let address = fleet.rig.entries[0].address();
         let question = Question::new(LLM, "long", 2000);
         let asked = tokio::spawn(async move { caller.ask(address, &question).await });
-        fleet.wait_running(0, 1).await;
+        fleet.wait_running(0, 1..).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
         fleet.engines[0].crash();
         let answer = asked.await.unwrap();
@@ -192,8 +192,8 @@
         let caller = Caller::new(KEY, http2);
         let question = question.clone();
         let asked = tokio::spawn(async move { caller.ask(address, &question).await });
-        fleet.wait_running(0, 1).await;
+        fleet.wait_running(0, 1..).await;
         asked.abort();
-        fleet.wait_running(0, 0).await;
+        fleet.wait_running(0, 0..=0).await;
     }
 }
--- a/standins/tests/support/fleet.rs
+++ b/standins/tests/support/fleet.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use std::net::SocketAddr;
+use std::ops::RangeBounds;
 use std::time::Duration;
 
 use corianderramp::resource::account::Account;
@@ -126,9 +127,10 @@
         self.rig.wait_ready(caller, self.name).await.unwrap();
     }
 
-    /// Waits until an engine runs exactly `count` requests.
-    pub async fn wait_running(&self, engine: usize, count: usize) {
-        let running = async || self.engines[engine].life().queue.load().running == count;
+    /// Waits until the number of requests that an engine runs lies in `range`.
+    pub async fn wait_running(&self, engine: usize, range: impl RangeBounds<usize>) {
+        let queue = || self.engines[engine].life().queue.load();
+        let running = async || range.contains(&queue().running);
         let wait = harness::wait_until("running requests", LIMIT, running);
         wait.await.unwrap();
     }
