Add the configuration store, its view and anti-entropy

Every process needs a copy of the configuration that never goes back.

Each process pulls from two peers a second, chosen from a fixed subset of eight neighbours so that open connections do not grow with the fleet; one pull in eight goes anywhere, in case all neighbours are gone. A process withholds its first view until up to three peers have been asked.

config::start returns a handle besides the service, because the coordinator applies the platform's changes to the same store and watches on from its revision after a takeover.

--- a/src/config.rs
+++ b/src/config.rs
@@ -3,8 +3,35 @@
 use std::cmp::Ordering;
 use std::sync::Arc;
 
+use crate::clock::Clock;
+use crate::control::pb::config_sync_server::ConfigSyncServer;
+use crate::daemon;
+
 use crate::resource::{Object, account, drain, model, rollout, service, vm};
 
+pub mod handle;
+pub mod parts;
+pub mod peers;
+pub mod pull;
+pub mod store;
+pub mod sync;
+pub mod view;
+
+pub use handle::Handle;
+
+/// Starts the anti-entropy pulls and returns access to the store and the
+/// service for other processes. `board.config` stays at revision 0 until a
+/// first round of up to three peers has ended and a configuration is known.
+pub fn start<C: Clock>(
+    ctx: &daemon::Context,
+    clock: C,
+) -> (Handle, ConfigSyncServer<sync::Service<C>>) {
+    let handle = Handle::new(ctx.board.clone());
+    tokio::spawn(pull::run(ctx.clone(), handle.clone()));
+    let service = sync::Service::new(ctx, clock, handle.clone());
+    (handle, ConfigSyncServer::new(service))
+}
+
 /// Typed, read-only copy of the configuration at one revision. Each vector is
 /// sorted by name.
 #[derive(Clone, Debug, Default)]
--- /dev/null
+++ b/src/config/sync.rs
@@ -0,0 +1,95 @@
+//! Configuration service for other processes.
+
+use std::sync::Arc;
+
+use futures_util::StreamExt;
+use futures_util::stream::{self, Iter};
+use tokio::time;
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::clock::Clock;
+use crate::config::Handle;
+use crate::config::parts::{self, Assembly};
+use crate::config::pull::PART_TIMEOUT;
+use crate::control::pb;
+use crate::control::pb::config_sync_server::ConfigSync;
+use crate::daemon;
+
+/// Serves pulls of other processes and pushes of the coordinator.
+#[derive(Debug)]
+pub struct Service<C> {
+    clock: C,
+    handle: Handle,
+    board: Arc<crate::blackboard::Blackboard>,
+    data_center: String,
+}
+
+impl<C: Clock> Service<C> {
+    pub(super) fn new(ctx: &daemon::Context, clock: C, handle: Handle) -> Self {
+        Self {
+            clock,
+            handle,
+            board: ctx.board.clone(),
+            data_center: ctx.settings.data_center.clone(),
+        }
+    }
+
+    fn replies(&self, request: &pb::PullRequest) -> Vec<pb::PullReply> {
+        let own = request.data_center == self.data_center;
+        let coordinator = self.board.coordinator.borrow().clone().filter(|_| own);
+        let complete = self.handle.revisions().complete;
+        let reply = |delta| pb::PullReply {
+            delta,
+            complete,
+            coordinator: coordinator.clone(),
+        };
+        match self.handle.delta(request.complete) {
+            Some(delta) => {
+                let parts = parts::split(&delta, None);
+                parts.into_iter().map(|p| reply(Some(p))).collect()
+            }
+            None => vec![reply(None)],
+        }
+    }
+}
+
+type Replies = Iter<std::vec::IntoIter<Result<pb::PullReply, Status>>>;
+
+#[tonic::async_trait]
+impl<C: Clock> ConfigSync for Service<C> {
+    type PullStream = Replies;
+
+    async fn pull(&self, request: Request<pb::PullRequest>) -> Result<Response<Replies>, Status> {
+        let replies = self.replies(request.get_ref());
+        let all: Vec<_> = replies.into_iter().map(Ok).collect();
+        Ok(Response::new(stream::iter(all)))
+    }
+
+    async fn push(
+        &self,
+        request: Request<Streaming<pb::Delta>>,
+    ) -> Result<Response<pb::PushReply>, Status> {
+        let mut stream = request.into_inner();
+        let mut assembly = Assembly::default();
+        let mut coordinator = None;
+        while let Some(part) = next(&mut stream).await? {
+            coordinator = part.coordinator.clone().or(coordinator);
+            let added = assembly.add(part);
+            added.map_err(|e| Status::invalid_argument(e.to_string()))?;
+        }
+        if let Some(delta) = assembly.finish() {
+            self.handle.apply(delta);
+        }
+        if let Some(coordinator) = coordinator {
+            self.handle.hear(coordinator, self.clock.now());
+        }
+        let complete = self.handle.revisions().complete;
+        Ok(Response::new(pb::PushReply { complete }))
+    }
+}
+
+async fn next(stream: &mut Streaming<pb::Delta>) -> Result<Option<pb::Delta>, Status> {
+    let part = time::timeout(PART_TIMEOUT, stream.next()).await;
+    let part = part.map_err(|_| Status::deadline_exceeded("no further part"))?;
+    part.transpose()
+}
