--- a/src/control.rs
+++ b/src/control.rs
@@ -25,6 +25,9 @@
 const PING_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time allowed for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes in flight per stream and per connection of a bulk pool.
+const STREAM_WINDOW: u32 = 256 * 1024;
+const CONNECTION_WINDOW: u32 = 512 * 1024;
 /// Largest message, bytes.
 pub const MAX_MESSAGE: usize = 64 * 1024 * 1024;
 
@@ -57,6 +60,7 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     bind: Option<IpAddr>,
+    bulk: bool,
     channels: Mutex<Vec<(SocketAddr, Channel)>>,
 }
 
@@ -66,10 +70,22 @@
     pub fn new(bind: Option<IpAddr>) -> Self {
         Self {
             bind,
+            bulk: false,
             channels: Mutex::default(),
         }
     }
 
+    /// Pool for large transfers. Its own connections keep chunks from delaying
+    /// control messages, and small windows keep pings from waiting behind
+    /// seconds of buffered data on a slow link.
+    #[must_use]
+    pub fn bulk(bind: Option<IpAddr>) -> Self {
+        Self {
+            bulk: true,
+            ..Self::new(bind)
+        }
+    }
+
     /// Channel to `address`, connected when first used and again after a failure.
     pub fn channel(&self, address: SocketAddr) -> Channel {
         let mut channels = self.channels.lock();
@@ -95,7 +111,10 @@
         let uri = format!("http://{address}");
         let endpoint =
             Endpoint::try_from(uri).unwrap_or_else(|_| Endpoint::from_static("http://127.0.0.1:1"));
+        let window = |bytes| self.bulk.then_some(bytes);
         endpoint
+            .initial_stream_window_size(window(STREAM_WINDOW))
+            .initial_connection_window_size(window(CONNECTION_WINDOW))
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true)
             .http2_keep_alive_interval(PING_INTERVAL)
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -1,1 +1,187 @@
 //! Weights: planning, chunk exchange, cache and pacing.
+//!
+//! [`start`] follows the newest rollout of the agent's service, fetches its
+//! chunks from peers and the origin, checks them and hands them to the
+//! engine's staging.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize};
+use std::time::{Duration, Instant};
+
+use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::time;
+
+use crate::clock::Clock;
+use crate::control::{self, pb};
+use crate::daemon;
+
+pub mod choice;
+mod follow;
+pub mod http;
+pub mod pace;
+pub mod peers;
+pub mod plan;
+pub mod serve;
+pub mod staging;
+pub mod store;
+mod swarm;
+pub mod transfer;
+pub mod want;
+
+/// Progress towards the wanted version.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Progress {
+    /// Wanted version; `None` without a rollout.
+    pub wanted: Option<want::Wanted>,
+    /// Chunks that the engine holds.
+    pub have: usize,
+    /// Chunks of the version.
+    pub total: usize,
+    /// Bytes received from the origin for this generation.
+    pub origin_bytes: u64,
+}
+
+impl Progress {
+    /// Whether every chunk was verified and staged.
+    #[must_use]
+    pub fn is_verified(&self) -> bool {
+        let known = self.wanted.as_ref().is_some_and(|w| w.missing.is_none());
+        known && self.total > 0 && self.have == self.total
+    }
+}
+
+/// Access to the transfers of this process.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    progress: watch::Receiver<Progress>,
+    pacer: Arc<pace::Pacer>,
+    store: Arc<store::Store>,
+}
+
+impl Handle {
+    /// Progress towards the wanted version.
+    #[must_use]
+    pub fn progress(&self) -> watch::Receiver<Progress> {
+        self.progress.clone()
+    }
+
+    /// Notes the time to the first byte of a request that this VM answered.
+    /// Transfers slow down when requests become slower.
+    pub fn observe(&self, latency: Duration, now: Instant) {
+        self.pacer.observe(latency, now);
+    }
+
+    /// Share of the highest rate that transfers may use now.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        self.pacer.share()
+    }
+
+    /// Bytes in the chunk cache.
+    #[must_use]
+    pub fn cached_bytes(&self) -> u64 {
+        self.store.cached_bytes()
+    }
+}
+
+/// The gRPC service of this process.
+pub type Server<C> = pb::weights_server::WeightsServer<serve::Service<C>>;
+
+/// Starts the transfers of this process. Without a target it only serves an
+/// empty set of chunks.
+pub fn start<C: Clock>(ctx: &daemon::Context, clock: C) -> (Handle, Server<C>) {
+    let settings = &ctx.settings.weights;
+    let bind = ctx.settings.bind;
+    let stall = Duration::from_millis(settings.stall_ms);
+    let store = Arc::new(store::Store::new(settings.cache_bytes));
+    let pacer = Arc::new(pace::Pacer::new(
+        settings.download_rate,
+        settings.upload_rate,
+    ));
+    let (progress, watched) = watch::channel(Progress::default());
+    let engine = ctx.settings.target.as_ref().map(|t| t.address);
+    let engine = engine.unwrap_or_else(|| ctx.settings.listen.control);
+    let staging = staging::Staging::new(http::Client::new(engine, bind, stall));
+    if let Some(target) = &ctx.settings.target {
+        let origin = ctx.settings.origin.as_ref();
+        let transfers = Arc::new(transfer::Transfers {
+            clock: clock.clone(),
+            vm: ctx.settings.vm.clone(),
+            pool: control::Pool::bulk(bind),
+            origin: origin.map(|o| http::Client::new(o.address, bind, stall)),
+            staging: staging.clone(),
+            store: store.clone(),
+            pacer: pacer.clone(),
+            stall,
+            origin_bytes: AtomicU64::new(0),
+        });
+        spawn(ctx, &transfers, progress, target.service.clone());
+    }
+    let shared = serve::Shared {
+        clock,
+        board: ctx.board.clone(),
+        store: store.clone(),
+        staging,
+        pacer: pacer.clone(),
+        slots: Arc::new(Semaphore::new(settings.upload_slots)),
+        queue: settings.upload_slots,
+        waiting: AtomicUsize::new(0),
+        stall,
+        stop: ctx.stop.clone(),
+    };
+    let service = serve::Service {
+        shared: Arc::new(shared),
+    };
+    let handle = Handle {
+        progress: watched,
+        pacer,
+        store,
+    };
+    (handle, pb::weights_server::WeightsServer::new(service))
+}
+
+fn spawn<C: Clock>(
+    ctx: &daemon::Context,
+    transfers: &Arc<transfer::Transfers<C>>,
+    progress: watch::Sender<Progress>,
+    service: String,
+) {
+    let (events, event_inputs) = mpsc::channel(swarm::EVENTS);
+    let (done, done_inputs) = mpsc::channel(swarm::EVENTS);
+    let (up, engine) = watch::channel(false);
+    let outputs = swarm::Outputs {
+        events,
+        done,
+        progress,
+    };
+    let inputs = swarm::Inputs {
+        events: event_inputs,
+        done: done_inputs,
+        engine,
+    };
+    tokio::spawn(watch_staging(transfers.clone(), up, ctx.stop.clone()));
+    let swarm = swarm::Swarm::new(ctx.clone(), transfers.clone(), outputs, service);
+    tokio::spawn(swarm::run(swarm, inputs));
+}
+
+/// Reads the engine's staging at intervals, since an engine that restarts
+/// loses it and an agent that restarts must recover it.
+async fn watch_staging<C: Clock>(
+    transfers: Arc<transfer::Transfers<C>>,
+    up: watch::Sender<bool>,
+    stop: tokio_util::sync::CancellationToken,
+) {
+    while !stop.is_cancelled() {
+        let handed = transfers.store.handed();
+        let listed = transfers.staging.list().await;
+        let reachable = listed.is_ok();
+        if let Ok(staged) = listed {
+            transfers.store.set_staged(staged, handed);
+        }
+        up.send_if_modified(|old| std::mem::replace(old, reachable) != reachable);
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = time::sleep(swarm::STAGING) => {}
+        }
+    }
+}
