--- a/src/resource.rs
+++ b/src/resource.rs
@@ -8,7 +8,9 @@
 use snafu::Snafu;
 
 pub mod account;
+pub mod burn;
 pub mod drain;
+pub mod journal;
 pub mod lease;
 pub mod model;
 pub mod rollout;
@@ -71,6 +73,20 @@
 ];
 
 impl Kind {
+    /// All kinds, in the order of their names.
+    pub const ALL: [Self; 10] = [
+        Self::Account,
+        Self::Burn,
+        Self::Drain,
+        Self::Journal,
+        Self::Lease,
+        Self::Model,
+        Self::Rollout,
+        Self::Service,
+        Self::Status,
+        Self::Vm,
+    ];
+
     /// Name as it stands in objects and paths.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -226,7 +242,11 @@
         Kind::Service => Object::<service::Service>::from_raw(raw).map(drop),
         Kind::Status => Object::<status::Status>::from_raw(raw).map(drop),
         Kind::Vm => Object::<vm::Vm>::from_raw(raw).map(drop),
-        Kind::Burn | Kind::Journal => check_name(&raw.metadata.name),
+        Kind::Burn => Object::<burn::Burn>::from_raw(raw).map(drop),
+        Kind::Journal if raw.metadata.name.starts_with("segment.") => {
+            Object::<journal::Segment>::from_raw(raw).map(drop)
+        }
+        Kind::Journal => Object::<journal::Head>::from_raw(raw).map(drop),
     }
 }
 
