--- a/src/weights/transfer.rs
+++ b/src/weights/transfer.rs
@@ -147,7 +147,11 @@
         let answer = self.within(client.fetch(request)).await?;
         let mut parts = answer.map_err(|s| failure(&s))?.into_inner();
         let mut data = BytesMut::with_capacity(job.length);
-        while let Some(part) = self.within(parts.message()).await?.map_err(|s| failure(&s))? {
+        while let Some(part) = self
+            .within(parts.message())
+            .await?
+            .map_err(|s| failure(&s))?
+        {
             self.append(job, &mut data, &part.data).await?;
         }
         check(job, data.freeze()).await
--- /dev/null
+++ b/standins/src/fleet.rs
@@ -0,0 +1,412 @@
+//! Agents in this process, with engines, an origin and optionally a relay
+//! between them, for tests and experiments on the weight path.
+//!
+//! Each agent has a runtime of its own, so that it can be ended at any point
+//! as if its process had been killed. The configuration is written to the
+//! agents' blackboards, without entries and platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use corianderramp::blackboard::Blackboard;
+use corianderramp::resource::{Object, model, rollout, service};
+use corianderramp::{clock, config, control, daemon, settings, weights};
+use tokio::net::TcpListener;
+use tokio::runtime;
+use tokio::sync::oneshot;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+use tonic::service::Routes;
+
+use crate::harness::{self, CONTROL_PORT, Place, Subnet, TARGET_PORT};
+use crate::relay::{self, Relay};
+use crate::{content, engine, origin, toolkit};
+
+/// Service of all agents of a fleet.
+pub const SERVICE: &str = "shake-llm";
+/// Host numbers of relayed addresses are this much higher than the VM's own.
+const RELAYED: u8 = 120;
+/// Host number of the origin.
+const ORIGIN: u8 = 119;
+/// Most agents of a fleet.
+const MAX_AGENTS: u8 = 118;
+
+/// Links between VMs.
+#[derive(Clone, Debug)]
+pub struct Links {
+    /// Rate of the origin's uplink, bytes per second; 0 for no limit.
+    pub origin: f64,
+    /// Rate of each VM's uplink and downlink, bytes per second; 0 for no limit.
+    pub vm: f64,
+    /// Rate from each region to each other one, bytes per second; 0 for no limit.
+    pub region: f64,
+    /// One-way delay between regions, milliseconds.
+    pub delay_ms: u64,
+}
+
+/// Settings of a fleet.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Loopback addresses.
+    pub subnet: Subnet,
+    /// Number of agents per data centre; data centre `i` is `dc-i` in `region-i`.
+    pub data_centers: Vec<u8>,
+    /// Content at the origin.
+    pub content: Vec<content::Content>,
+    /// Transfer settings of all agents.
+    pub weights: settings::Weights,
+    /// Settings of all engines.
+    pub engine: engine::Settings,
+    /// Links; without them processes connect to each other directly.
+    pub links: Option<Links>,
+}
+
+/// An agent with its engine.
+#[derive(Debug)]
+pub struct Agent {
+    /// Where it runs.
+    pub place: Place,
+    /// Its engine, which outlives it.
+    pub engine: engine::Engine,
+    /// Its settings.
+    pub settings: settings::Settings,
+    life: Option<Life>,
+}
+
+/// A running agent.
+#[derive(Debug)]
+struct Life {
+    board: Arc<Blackboard>,
+    handle: weights::Handle,
+    /// Ends the runtime with all its tasks, unfinished ones included.
+    end: Option<oneshot::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Drop for Life {
+    fn drop(&mut self) {
+        drop(self.end.take());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Agents, engines, origin and relay.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Agents in the order of their host numbers.
+    pub agents: Vec<Agent>,
+    /// Origin.
+    pub origin: origin::Origin,
+    /// Relay, if there are links.
+    pub relay: Option<Relay>,
+    /// Configuration that was declared last.
+    pub view: config::View,
+}
+
+impl Fleet {
+    /// Starts engines, origin, relay and agents.
+    ///
+    /// # Errors
+    /// Fails when an address can't be listened at.
+    pub async fn start(settings: &Settings) -> Result<Self, toolkit::Error> {
+        let subnet = settings.subnet;
+        let origin = origin::Origin::start(origin::Settings {
+            listen: subnet.address(ORIGIN, TARGET_PORT),
+            rate: 0.0,
+            models: settings.content.clone(),
+        })
+        .await?;
+        let places = places(settings)?;
+        let relay = match &settings.links {
+            Some(links) => Some(Relay::start(relayed(subnet, &places, links)).await?),
+            None => None,
+        };
+        let offset = if relay.is_some() { RELAYED } else { 0 };
+        let mut agents = Vec::new();
+        let mut view = config::View::default();
+        for (host, place) in places {
+            let target = place.address(TARGET_PORT);
+            let engine = engine::start(target, settings.engine.clone()).await?;
+            let source = subnet.address(ORIGIN + offset, TARGET_PORT);
+            let mut own = place.agent(SERVICE, source, &[]);
+            own.weights = settings.weights.clone();
+            let mut listed = place.listed(SERVICE);
+            listed.spec.control = subnet.address(host + offset, CONTROL_PORT);
+            view.vms.push(Arc::new(listed));
+            agents.push(Agent {
+                place,
+                engine,
+                settings: own,
+                life: None,
+            });
+        }
+        let spec = service::Service {
+            backend: service::Backend::Model,
+            routes: Vec::new(),
+            journal: service::JournalMode::Refuse,
+            fencing: !settings.engine.ignore_fence,
+            reports_load: true,
+            objective: service::Objective::default(),
+            timeout_ms: 60_000,
+        };
+        view.services.push(Arc::new(Object::new(SERVICE, spec)));
+        view.complete = 1;
+        let mut fleet = Self {
+            agents,
+            origin,
+            relay,
+            view,
+        };
+        for index in 0..fleet.agents.len() {
+            fleet.revive(index).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Declares a version as the newest rollout, with its manifest.
+    pub fn declare(&mut self, manifest: &Object<model::Model>) -> u64 {
+        let spec = rollout::Rollout {
+            service: SERVICE.into(),
+            model: manifest.spec.model.clone(),
+            version: manifest.spec.version.clone(),
+            strategy: rollout::Strategy::Time,
+            max_unavailable: 1,
+            join: rollout::Join::Newest,
+        };
+        self.add_model(manifest);
+        self.declare_rollout(spec)
+    }
+
+    /// Adds a manifest to the configuration, which takes effect with the next rollout.
+    pub fn add_model(&mut self, manifest: &Object<model::Model>) {
+        let models = &mut self.view.models;
+        models.retain(|m| m.metadata.name != manifest.metadata.name);
+        models.push(Arc::new(manifest.clone()));
+        models.sort_by(|a, b| a.metadata.name.cmp(&b.metadata.name));
+    }
+
+    /// Replaces the rollout; returns its generation.
+    pub fn declare_rollout(&mut self, spec: rollout::Rollout) -> u64 {
+        self.view.complete += 1;
+        let mut object = Object::new("rollout", spec);
+        object.metadata.revision = self.view.complete;
+        self.view.rollouts = vec![Arc::new(object)];
+        self.push();
+        self.view.complete
+    }
+
+    /// Writes the configuration to all running agents.
+    pub fn push(&self) {
+        for agent in &self.agents {
+            self.push_to(agent);
+        }
+    }
+
+    fn push_to(&self, agent: &Agent) {
+        if let Some(life) = &agent.life {
+            life.board.config.send_replace(Arc::new(self.view.clone()));
+        }
+    }
+
+    /// Ends an agent at once, like the death of its process.
+    pub fn kill(&mut self, index: usize) {
+        self.agents[index].life = None;
+    }
+
+    /// Starts an agent that is not running.
+    ///
+    /// # Errors
+    /// Fails when its address can't be listened at.
+    pub async fn revive(&mut self, index: usize) -> Result<(), toolkit::Error> {
+        let settings = self.agents[index].settings.clone();
+        let listener = listen(settings.listen.control).await?;
+        let life = Life::start(settings, listener)?;
+        self.agents[index].life = Some(life);
+        self.push_to(&self.agents[index]);
+        Ok(())
+    }
+
+    /// Waits until `condition` holds for all running agents.
+    ///
+    /// # Errors
+    /// Says what did not come about within `limit`, with the progress of all agents.
+    pub async fn wait_all(
+        &self,
+        what: &str,
+        limit: Duration,
+        condition: impl Fn(&Agent) -> bool,
+    ) -> Result<Duration, toolkit::Error> {
+        let begin = Instant::now();
+        let running = || self.agents.iter().filter(|a| a.life.is_some());
+        while !running().all(&condition) {
+            if begin.elapsed() > limit {
+                let lines: Vec<String> = running().map(Agent::describe).collect();
+                let reason = format!("{what}: not within {limit:?}: {}", lines.join("; "));
+                return Err(toolkit::Error::Unusable { reason });
+            }
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        Ok(begin.elapsed())
+    }
+}
+
+impl Agent {
+    /// Progress of its transfers; `None` while it is not running.
+    #[must_use]
+    pub fn progress(&self) -> Option<weights::Progress> {
+        let life = self.life.as_ref()?;
+        let progress = life.handle.progress();
+        let current = progress.borrow().clone();
+        Some(current)
+    }
+
+    /// Whether it has all chunks of `generation`.
+    #[must_use]
+    pub fn is_verified(&self, generation: u64) -> bool {
+        self.progress().is_some_and(|p| {
+            p.is_verified() && p.wanted.is_some_and(|w| w.generation == generation)
+        })
+    }
+
+    /// Handle of its transfers; `None` while it is not running.
+    #[must_use]
+    pub fn handle(&self) -> Option<&weights::Handle> {
+        self.life.as_ref().map(|l| &l.handle)
+    }
+
+    /// Its blackboard; `None` while it is not running.
+    #[must_use]
+    pub fn board(&self) -> Option<&Arc<Blackboard>> {
+        self.life.as_ref().map(|l| &l.board)
+    }
+
+    fn describe(&self) -> String {
+        let progress = self.progress().unwrap_or_default();
+        let generation = progress.wanted.as_ref().map_or(0, |w| w.generation);
+        format!(
+            "{}: generation {generation}, {}/{} chunks, engine {:?}",
+            self.place.vm,
+            progress.have,
+            progress.total,
+            self.engine.life().version()
+        )
+    }
+}
+
+impl Life {
+    fn start(settings: settings::Settings, listener: TcpListener) -> Result<Self, toolkit::Error> {
+        let unusable = |reason: String| toolkit::Error::Unusable { reason };
+        let board = Arc::new(Blackboard::default());
+        let ctx = daemon::Context {
+            pool: Arc::new(control::Pool::new(settings.bind)),
+            settings: Arc::new(settings),
+            board: board.clone(),
+            boot: format!("{:016x}", rand::random::<u64>()),
+            stop: CancellationToken::new(),
+        };
+        let listener = listener.into_std().map_err(|e| unusable(e.to_string()))?;
+        let (end, ended) = oneshot::channel();
+        let (ready, handle) = std::sync::mpsc::channel();
+        let thread = thread::spawn(move || {
+            let built = runtime::Builder::new_current_thread().enable_all().build();
+            let Ok(runtime) = built else { return };
+            runtime.block_on(async move {
+                let (handle, server) = weights::start(&ctx, clock::System);
+                let _ = ready.send(handle);
+                let Ok(listener) = TcpListener::from_std(listener) else {
+                    return;
+                };
+                tokio::spawn(control::serve(listener, Routes::new(server), ctx.stop));
+                let _ = ended.await;
+            });
+            runtime.shutdown_background();
+        });
+        let handle = handle.recv().map_err(|e| unusable(e.to_string()))?;
+        Ok(Self {
+            board,
+            handle,
+            end: Some(end),
+            thread: Some(thread),
+        })
+    }
+}
+
+/// Listens; an address whose agent was killed may need a moment to be free.
+async fn listen(address: SocketAddr) -> Result<TcpListener, toolkit::Error> {
+    let deadline = Instant::now() + Duration::from_secs(5);
+    loop {
+        match toolkit::bind(address).await {
+            Err(_) if Instant::now() < deadline => time::sleep(Duration::from_millis(20)).await,
+            ended => return ended,
+        }
+    }
+}
+
+fn places(settings: &Settings) -> Result<Vec<(u8, Place)>, toolkit::Error> {
+    let mut places = Vec::new();
+    let mut host = 0;
+    for (center, count) in settings.data_centers.iter().enumerate() {
+        for _ in 0..*count {
+            host += 1;
+            let place = Place {
+                vm: format!("vm-{host:03}"),
+                ip: settings.subnet.ip(host),
+                data_center: format!("dc-{center}"),
+                region: format!("region-{center}"),
+            };
+            places.push((host, place));
+        }
+    }
+    if host > MAX_AGENTS {
+        let reason = format!("{host} agents exceed the limit of {MAX_AGENTS}");
+        return Err(toolkit::Error::Unusable { reason });
+    }
+    Ok(places)
+}
+
+/// Relay with a listener for each VM and the origin, which is in the first region.
+fn relayed(subnet: Subnet, places: &[(u8, Place)], links: &Links) -> relay::Settings {
+    let port = |host: u8, port: u16| relay::Port {
+        listen: subnet.address(host + RELAYED, port),
+        forward: subnet.address(host, port),
+    };
+    let mut vms = vec![relay::Vm {
+        name: "origin".into(),
+        region: "region-0".into(),
+        address: subnet.ip(ORIGIN),
+        up: links.origin,
+        down: 0.0,
+        ports: vec![port(ORIGIN, TARGET_PORT)],
+    }];
+    vms.extend(places.iter().map(|(host, place)| relay::Vm {
+        name: place.vm.clone(),
+        region: place.region.clone(),
+        address: place.ip,
+        up: links.vm,
+        down: links.vm,
+        ports: vec![port(*host, CONTROL_PORT)],
+    }));
+    let mut names: Vec<&str> = places.iter().map(|(_, p)| p.region.as_str()).collect();
+    names.sort_unstable();
+    names.dedup();
+    let pairs = names
+        .iter()
+        .flat_map(|from| names.iter().map(move |to| (*from, *to)));
+    let regions = pairs.filter(|(from, to)| from != to);
+    relay::Settings {
+        control: subnet.address(ORIGIN + RELAYED + 1, harness::OPERATORS_PORT),
+        vms,
+        regions: regions
+            .map(|(from, to)| relay::RegionLink {
+                from: from.into(),
+                to: to.into(),
+                rate: links.region,
+                delay_ms: links.delay_ms,
+            })
+            .collect(),
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod content;
 pub mod engine;
 pub mod experiment;
+pub mod fleet;
 pub mod harness;
 pub mod load;
 pub mod origin;
