Switch engines to the newest rollout

The switch controller decides from the configuration, the progress of the weights, the engine's report and the permit. It withdraws admission before it waits for requests in progress, and orders only the newest generation it has ever seen, since some engines do not check fencing tokens.

An engine that loads reports the previous version until it is done, and its load goes on when the agent dies. A report is therefore trusted only if its fencing token belongs to the version that it names; a restarted agent that finds another state waits 30 s for it to settle. Ruled out: trusting the report (mixes weights when an agent dies during a load), ordering again at once (two loads overlap).

A target that serves nothing loads without a permit, because a switch takes no capacity away there and a new fleet would otherwise come up one by one.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -12,10 +12,12 @@
 use crate::resource::service::Service;
 
 pub mod drain;
+pub mod engine;
 mod forward;
 pub mod gate;
 pub mod probe;
 pub mod reports;
+pub mod switch;
 
 /// Starts admission and reports of the target; the returned gRPC service
 /// streams the reports to entries.
--- /dev/null
+++ b/src/agent/switch.rs
@@ -0,0 +1,311 @@
+//! Switches the engine to the version that the newest rollout wants.
+
+use std::time::{Duration, Instant};
+
+use log::{info, warn};
+use tokio::sync::{mpsc, watch};
+use tokio::time;
+
+use super::engine::{self, Engine};
+use crate::blackboard::{Phase, Serving};
+use crate::clock::Clock;
+use crate::control::pb;
+use crate::daemon;
+use crate::weights;
+
+pub mod decide;
+mod report;
+
+use decide::{Facts, Step};
+
+/// Interval of looks at the engine.
+const INTERVAL: Duration = Duration::from_millis(200);
+/// The same while a switch is under way.
+const FAST: Duration = Duration::from_millis(20);
+/// Time without a change of the engine's report after which a restarted agent
+/// takes it as complete. It is longer than the load of weights that are in the
+/// engine's memory takes on these VMs.
+const SETTLE: Duration = Duration::from_secs(30);
+/// Time between two looks above which this process was paused. Its view may
+/// then be old, and engines that don't check tokens would accept its orders.
+const PAUSE: Duration = Duration::from_secs(2);
+/// Time without orders after a pause: pulling repairs the view within 1 s.
+const RESYNC: Duration = Duration::from_secs(3);
+/// First and longest time between two orders after a failure.
+const RETRY: Duration = Duration::from_millis(500);
+const MAX_RETRY: Duration = Duration::from_secs(10);
+/// Looks without an answer after which the engine counts as unreachable.
+const MISSED: u32 = 3;
+
+/// Starts the switch controller of a model engine. It writes `board.serving`.
+pub fn start<C: Clock>(ctx: &daemon::Context, clock: C, weights: &weights::Handle) {
+    let Some(target) = &ctx.settings.target else {
+        return;
+    };
+    let (reports, reported) = watch::channel(pb::AgentProgress::default());
+    let (permits, permit) = watch::channel(None);
+    let engine = Engine::new(target.address, ctx.settings.bind);
+    tokio::spawn(report::run(ctx.clone(), reported, permits));
+    let switch = Switch {
+        ctx: ctx.clone(),
+        clock,
+        engine,
+        service: target.service.clone(),
+        progress: weights.progress(),
+        reports,
+        permit,
+        memory: Memory::default(),
+    };
+    let stop = ctx.stop.clone();
+    tokio::spawn(async move { stop.run_until_cancelled(run(switch)).await });
+}
+
+/// What the controller remembers between two looks.
+#[derive(Debug, Default)]
+struct Memory {
+    /// What was loaded completely by this process, or accepted at its start.
+    known: Option<Serving>,
+    newest: u64,
+    /// Newest generation in the first configuration, and whether the engine
+    /// was empty then.
+    first: Option<(u64, bool)>,
+    engine: Option<engine::State>,
+    /// Since when the engine reports the same.
+    since: Option<Instant>,
+    missed: u32,
+    looked: Option<Instant>,
+    hold: Option<Instant>,
+    failures: u32,
+    reason: String,
+    lost: bool,
+    loading: Option<Serving>,
+}
+
+struct Switch<C> {
+    ctx: daemon::Context,
+    clock: C,
+    engine: Engine,
+    service: String,
+    progress: watch::Receiver<weights::Progress>,
+    reports: watch::Sender<pb::AgentProgress>,
+    permit: watch::Receiver<Option<u64>>,
+    memory: Memory,
+}
+
+type Outcome = Result<(), weights::http::Error>;
+
+async fn run<C: Clock>(mut switch: Switch<C>) {
+    let mut config = switch.ctx.board.config.subscribe();
+    // Orders before the first synchronisation could be of an old generation.
+    let _ = config.wait_for(|view| view.complete > 0).await;
+    let (done, mut outcomes) = mpsc::channel::<Outcome>(1);
+    loop {
+        switch.look().await;
+        while let Ok(outcome) = outcomes.try_recv() {
+            switch.loaded(outcome);
+            switch.look().await;
+        }
+        let facts = switch.facts();
+        let step = decide::step(&facts);
+        switch.act(&step, &facts, &done);
+        switch.report(&switch.facts());
+        let waiting = facts.loading || decide::is_draining(&facts);
+        let interval = if waiting || step != Step::Wait {
+            FAST
+        } else {
+            INTERVAL
+        };
+        let seen = milestone(&switch.progress.borrow());
+        let mut progress = switch.progress.clone();
+        tokio::select! {
+            () = time::sleep(interval) => {}
+            _ = config.changed() => {}
+            _ = progress.wait_for(|p| milestone(p) != seen) => {}
+            _ = switch.permit.changed() => {}
+        }
+    }
+}
+
+/// Parts of the progress that the decision depends on.
+fn milestone(progress: &weights::Progress) -> (u64, bool) {
+    let wanted = progress.wanted.as_ref();
+    let generation = wanted.map_or(0, |w| w.generation);
+    (generation, progress.is_verified())
+}
+
+impl<C: Clock> Switch<C> {
+    /// Asks the engine what it has loaded.
+    async fn look(&mut self) {
+        let answer = self.engine.state().await;
+        let now = self.clock.now();
+        let memory = &mut self.memory;
+        if memory.looked.is_some_and(|last| now - last > PAUSE) {
+            memory.hold = memory.hold.max(Some(now + RESYNC));
+        }
+        memory.looked = Some(now);
+        let state = match answer {
+            Ok(state) => {
+                memory.missed = 0;
+                Some(state)
+            }
+            Err(weights::http::Error::Stalled { .. }) if memory.missed < MISSED => {
+                memory.missed += 1;
+                memory.engine.clone()
+            }
+            Err(_) => None,
+        };
+        if state != memory.engine || state.is_none() {
+            memory.since = Some(now);
+        }
+        memory.engine = state;
+        let newest = self.ctx.board.view();
+        let newest = newest.rollout_for(&self.service);
+        let generation = newest.map_or(0, |r| r.metadata.revision);
+        memory.newest = memory.newest.max(generation);
+        if let (None, Some(engine)) = (memory.first, &memory.engine) {
+            memory.first = Some((generation, engine.model.is_empty()));
+        }
+    }
+
+    fn facts(&self) -> Facts {
+        let progress = self.progress.borrow();
+        let memory = &self.memory;
+        let now = self.clock.now();
+        let wanted = progress.wanted.as_ref();
+        let (first, empty) = memory.first.unwrap_or_default();
+        let held_back =
+            wanted.is_some_and(|w| decide::is_held_back(w.join, w.generation, first, empty));
+        let leaving = *self.ctx.board.phase.borrow() == Phase::Draining;
+        let waiting = memory.hold.is_some_and(|until| until > now);
+        let serving = self.ctx.board.serving.borrow().clone();
+        Facts {
+            wanted: wanted.map(|w| Serving {
+                model: w.model.clone(),
+                version: w.version.clone(),
+                generation: w.generation,
+            }),
+            newest: memory.newest,
+            verified: progress.is_verified(),
+            engine: memory.engine.clone(),
+            lost: memory.lost,
+            settled: memory.since.is_some_and(|since| now - since >= SETTLE),
+            serving,
+            known: memory.known.clone(),
+            // Read after `serving`: the gate raises it before it reads `serving`.
+            active: *self.ctx.board.active.borrow(),
+            permit: *self.permit.borrow(),
+            loading: memory.loading.is_some(),
+            held: held_back || leaving || waiting,
+        }
+    }
+
+    fn act(&mut self, step: &Step, facts: &Facts, done: &mpsc::Sender<Outcome>) {
+        match step {
+            Step::Wait => {}
+            Step::Serve(serving) => {
+                info!(
+                    model = serving.model.as_str(), version = serving.version.as_str(),
+                    generation = serving.generation; "serving"
+                );
+                self.memory.known = Some(serving.clone());
+                self.ctx.board.serving.send_replace(Some(serving.clone()));
+            }
+            Step::Withdraw => {
+                info!(active = facts.active; "not serving");
+                self.ctx.board.serving.send_replace(None);
+            }
+            Step::Load => self.order(facts, done),
+        }
+    }
+
+    fn order(&mut self, facts: &Facts, done: &mpsc::Sender<Outcome>) {
+        let progress = self.progress.borrow();
+        let (Some(wanted), Some(serving)) = (&progress.wanted, &facts.wanted) else {
+            return;
+        };
+        let order = engine::Load {
+            model: wanted.model.clone(),
+            version: wanted.version.clone(),
+            fence: wanted.generation,
+            chunks: wanted.chunks(),
+        };
+        info!(
+            model = order.model.as_str(), version = order.version.as_str(),
+            generation = order.fence; "load ordered"
+        );
+        self.memory.loading = Some(serving.clone());
+        let engine = self.engine.clone();
+        let done = done.clone();
+        tokio::spawn(async move {
+            let outcome = engine.load(&order).await;
+            let _ = done.send(outcome).await;
+        });
+    }
+
+    /// Notes the end of an order.
+    fn loaded(&mut self, outcome: Outcome) {
+        let memory = &mut self.memory;
+        let loaded = memory.loading.take();
+        match outcome {
+            Ok(()) => {
+                memory.known = loaded;
+                memory.lost = false;
+                memory.failures = 0;
+                memory.reason.clear();
+            }
+            Err(e) => {
+                memory.lost = !matches!(e, weights::http::Error::Status { .. });
+                let wait = weights::peers::doubled(RETRY, memory.failures, MAX_RETRY);
+                memory.failures += 1;
+                memory.hold = memory.hold.max(Some(self.clock.now() + wait));
+                memory.reason = format!("load failed: {e}");
+                warn!(failures = memory.failures; "{}", memory.reason);
+            }
+        }
+    }
+
+    /// Publishes a report for the coordinator.
+    fn report(&self, facts: &Facts) {
+        let progress = self.progress.borrow();
+        let Some(wanted) = &progress.wanted else {
+            return;
+        };
+        let live = facts
+            .serving
+            .as_ref()
+            .zip(facts.wanted.as_ref())
+            .is_some_and(|(s, w)| decide::is_same(s, w));
+        let switching = facts.loading || decide::is_draining(facts);
+        let stage = if live {
+            pb::Stage::Live
+        } else if !self.memory.reason.is_empty() {
+            pb::Stage::Failed
+        } else if switching {
+            pb::Stage::Switching
+        } else if facts.verified {
+            pb::Stage::Verified
+        } else {
+            pb::Stage::Fetching
+        };
+        let missing = wanted.missing.as_ref();
+        let missing = missing.map(|name| format!("the configuration lacks {name}"));
+        let report = pb::AgentProgress {
+            vm: self.ctx.settings.vm.clone(),
+            service: self.service.clone(),
+            rollout: wanted.rollout.clone(),
+            generation: wanted.generation,
+            stage: stage.into(),
+            reason: missing.unwrap_or_else(|| self.memory.reason.clone()),
+            chunks_have: u32::try_from(progress.have).unwrap_or(u32::MAX),
+            chunks_total: u32::try_from(progress.total).unwrap_or(u32::MAX),
+            want_permit: decide::needs_permit(facts),
+            complete: self.ctx.board.view().complete,
+            origin_bytes: progress.origin_bytes,
+        };
+        self.reports.send_if_modified(|old| {
+            let changed = *old != report;
+            *old = report;
+            changed
+        });
+    }
+}
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -10,7 +10,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use corianderramp::blackboard::Blackboard;
+use corianderramp::agent::{self, switch};
+use corianderramp::blackboard::{Blackboard, Phase, Serving};
 use corianderramp::resource::{Object, model, rollout, service};
 use corianderramp::{clock, config, control, daemon, settings, weights};
 use tokio::net::TcpListener;
@@ -20,10 +21,14 @@
 use tokio_util::sync::CancellationToken;
 use tonic::service::Routes;
 
-use crate::harness::{self, CONTROL_PORT, Place, Subnet, TARGET_PORT};
+use crate::harness::{self, CONTROL_PORT, Place, REQUESTS_PORT, Subnet, TARGET_PORT};
 use crate::relay::{self, Relay};
 use crate::{content, engine, origin, toolkit};
 
+mod permits;
+
+pub use permits::Coordinator;
+
 /// Service of all agents of a fleet.
 pub const SERVICE: &str = "shake-llm";
 /// Host numbers of relayed addresses are this much higher than the VM's own.
@@ -72,6 +77,8 @@
     pub engine: engine::Engine,
     /// Its settings.
     pub settings: settings::Settings,
+    /// Whether new configuration does not reach it.
+    pub isolated: bool,
     life: Option<Life>,
 }
 
@@ -105,6 +112,9 @@
     pub relay: Option<Relay>,
     /// Configuration that was declared last.
     pub view: config::View,
+    /// Coordinator, if one was started.
+    pub coordinator: Option<permits::Coordinator>,
+    subnet: Subnet,
 }
 
 impl Fleet {
@@ -141,6 +151,7 @@
                 place,
                 engine,
                 settings: own,
+                isolated: false,
                 life: None,
             });
         }
@@ -160,6 +171,8 @@
             origin,
             relay,
             view,
+            coordinator: None,
+            subnet,
         };
         for index in 0..fleet.agents.len() {
             fleet.revive(index).await?;
@@ -207,11 +220,24 @@
     }
 
     fn push_to(&self, agent: &Agent) {
-        if let Some(life) = &agent.life {
+        if let Some(life) = agent.life.as_ref().filter(|_| !agent.isolated) {
+            let coordinator = self.coordinator.as_ref().map(Coordinator::named);
+            life.board.coordinator.send_replace(coordinator);
             life.board.config.send_replace(Arc::new(self.view.clone()));
         }
     }
 
+    /// Starts a coordinator that grants at most `limit` permits at a time.
+    ///
+    /// # Errors
+    /// Fails when its address can't be listened at.
+    pub async fn coordinate(&mut self, limit: usize) -> Result<(), toolkit::Error> {
+        let address = self.subnet.address(ORIGIN, CONTROL_PORT);
+        self.coordinator = Some(permits::Coordinator::start(address, limit).await?);
+        self.push();
+        Ok(())
+    }
+
     /// Ends an agent at once, like the death of its process.
     pub fn kill(&mut self, index: usize) {
         self.agents[index].life = None;
@@ -223,8 +249,9 @@
     /// Fails when its address can't be listened at.
     pub async fn revive(&mut self, index: usize) -> Result<(), toolkit::Error> {
         let settings = self.agents[index].settings.clone();
-        let listener = listen(settings.listen.control).await?;
-        let life = Life::start(settings, listener)?;
+        let control = listen(settings.listen.control).await?;
+        let requests = listen(self.agents[index].place.address(REQUESTS_PORT)).await?;
+        let life = Life::start(settings, control, requests)?;
         self.agents[index].life = Some(life);
         self.push_to(&self.agents[index]);
         Ok(())
@@ -272,6 +299,18 @@
         })
     }
 
+    /// What it admits requests to; `None` while it admits none.
+    #[must_use]
+    pub fn serving(&self) -> Option<Serving> {
+        self.life.as_ref()?.board.serving.borrow().clone()
+    }
+
+    /// Whether it admits requests to the version of `generation`.
+    #[must_use]
+    pub fn is_live(&self, generation: u64) -> bool {
+        self.serving().is_some_and(|s| s.generation == generation)
+    }
+
     /// Handle of its transfers; `None` while it is not running.
     #[must_use]
     pub fn handle(&self) -> Option<&weights::Handle> {
@@ -288,17 +327,22 @@
         let progress = self.progress().unwrap_or_default();
         let generation = progress.wanted.as_ref().map_or(0, |w| w.generation);
         format!(
-            "{}: generation {generation}, {}/{} chunks, engine {:?}",
+            "{}: generation {generation}, {}/{} chunks, serving {:?}, engine {:?}",
             self.place.vm,
             progress.have,
             progress.total,
+            self.serving().map(|s| s.version),
             self.engine.life().version()
         )
     }
 }
 
 impl Life {
-    fn start(settings: settings::Settings, listener: TcpListener) -> Result<Self, toolkit::Error> {
+    fn start(
+        settings: settings::Settings,
+        control: TcpListener,
+        requests: TcpListener,
+    ) -> Result<Self, toolkit::Error> {
         let unusable = |reason: String| toolkit::Error::Unusable { reason };
         let board = Arc::new(Blackboard::default());
         let ctx = daemon::Context {
@@ -308,7 +352,9 @@
             boot: format!("{:016x}", rand::random::<u64>()),
             stop: CancellationToken::new(),
         };
-        let listener = listener.into_std().map_err(|e| unusable(e.to_string()))?;
+        board.phase.send_replace(Phase::Ready);
+        let control = control.into_std().map_err(|e| unusable(e.to_string()))?;
+        let requests = requests.into_std().map_err(|e| unusable(e.to_string()))?;
         let (end, ended) = oneshot::channel();
         let (ready, handle) = std::sync::mpsc::channel();
         let thread = thread::spawn(move || {
@@ -316,11 +362,18 @@
             let Ok(runtime) = built else { return };
             runtime.block_on(async move {
                 let (handle, server) = weights::start(&ctx, clock::System);
+                switch::start(&ctx, clock::System, &handle);
                 let _ = ready.send(handle);
-                let Ok(listener) = TcpListener::from_std(listener) else {
+                let listeners = (
+                    TcpListener::from_std(control),
+                    TcpListener::from_std(requests),
+                );
+                let (Ok(control), Ok(requests)) = listeners else {
                     return;
                 };
-                tokio::spawn(control::serve(listener, Routes::new(server), ctx.stop));
+                let reports = agent::start(&ctx, requests);
+                let routes = Routes::new(server).add_service(reports);
+                tokio::spawn(control::serve(control, routes, ctx.stop));
                 let _ = ended.await;
             });
             runtime.shutdown_background();
