--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -17,7 +17,7 @@
 /// Result in JSON.
 #[derive(Debug, Serialize)]
 struct Outcome<'a> {
-    written: bool,
+    dry_run: bool,
     objects: Vec<Line<'a>>,
     data_centers: Vec<Report>,
 }
@@ -52,7 +52,7 @@
         reports = wait(args, newest.unwrap_or(0), &remote, console).await?;
     }
     if console.format == Format::Json {
-        console.json(&outcome(&steps, !dry, reports))?;
+        console.json(&outcome(&steps, dry, reports))?;
     }
     Ok(0)
 }
@@ -131,9 +131,9 @@
     format!("{}: {action}{revision}\n{fields}", step.label())
 }
 
-fn outcome(steps: &[Step], written: bool, data_centers: Vec<Report>) -> Outcome<'_> {
+fn outcome(steps: &[Step], dry_run: bool, data_centers: Vec<Report>) -> Outcome<'_> {
     Outcome {
-        written,
+        dry_run,
         objects: steps.iter().map(entry).collect(),
         data_centers,
     }
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -11,7 +11,7 @@
 use super::options::Options;
 use super::remote::Remote;
 use crate::cli;
-use crate::resource::{Invalid, Kind, Object, drain};
+use crate::resource::{Invalid, Kind, Object, Raw, drain};
 
 /// Result in JSON.
 #[derive(Debug, Serialize)]
@@ -33,13 +33,7 @@
         return cancel(name, &remote, console).await;
     }
     delete::existing(Kind::Vm, name, &remote).await?;
-    let reason = cli::text(args, "reason").to_owned();
-    let mut object = Object::new(name, drain::Drain { reason })
-        .to_raw()
-        .map_err(|e: Invalid| Error::invalid(e.to_string()))?;
-    let current = remote.get(Kind::Drain, name).await?;
-    object.metadata.revision = current.map_or(0, |c| c.metadata.revision);
-    let written = remote.put(&object).await?;
+    let written = request(name, cli::text(args, "reason"), &remote).await?;
     let revision = written.metadata.revision;
     if console.format == Format::Table {
         console.write(&format!(
@@ -61,6 +55,21 @@
     Ok(0)
 }
 
+/// Writes the drain object unless it is there already.
+async fn request(name: &str, reason: &str, remote: &Remote<'_>) -> Result<Raw, Error> {
+    let spec = drain::Drain {
+        reason: reason.to_owned(),
+    };
+    let mut object = Object::new(name, spec)
+        .to_raw()
+        .map_err(|e: Invalid| Error::invalid(e.to_string()))?;
+    match remote.get(Kind::Drain, name).await? {
+        Some(current) if current.spec == object.spec => return Ok(current),
+        current => object.metadata.revision = current.map_or(0, |c| c.metadata.revision),
+    }
+    remote.put(&object).await
+}
+
 async fn cancel(name: &str, remote: &Remote<'_>, console: &Console) -> Result<u8, Error> {
     let object = delete::existing(Kind::Drain, name, remote).await?;
     remote.delete(&object).await?;
--- a/src/cmd/files.rs
+++ b/src/cmd/files.rs
@@ -8,8 +8,8 @@
 
 use super::error::Error;
 use crate::resource::{
-    self, Invalid, Kind, Metadata, Object, Raw, Resource, account, drain, lease, model, rollout,
-    service, status, vm,
+    self, Invalid, Kind, Metadata, Object, Raw, Resource, account, burn, drain, lease, model,
+    rollout, service, status, vm,
 };
 
 /// Kinds that operators write.
@@ -157,7 +157,8 @@
         Kind::Service => typed::<service::Service>(raw),
         Kind::Status => typed::<status::Status>(raw),
         Kind::Vm => typed::<vm::Vm>(raw),
-        Kind::Burn | Kind::Journal => Ok(raw.clone()),
+        Kind::Burn => typed::<burn::Burn>(raw),
+        Kind::Journal => Ok(raw.clone()),
     }
 }
 
--- a/src/cmd/force.rs
+++ b/src/cmd/force.rs
@@ -68,6 +68,11 @@
             return Ok(reports);
         }
         let pending = pending.join("; ");
+        let done = reports.iter().filter(|r| r.in_force).count();
+        console.progress(&format!(
+            "revision {revision}: in force in {done} of {} data centres; {pending}",
+            reports.len()
+        ));
         if start.elapsed() >= limit {
             let reason = format!(
                 "revision {revision} was written but is not in force everywhere after {} s: \
@@ -76,11 +81,6 @@
             );
             return PendingSnafu { reason }.fail();
         }
-        let done = reports.iter().filter(|r| r.in_force).count();
-        console.progress(&format!(
-            "revision {revision}: in force in {done} of {} data centres; waiting for {pending}",
-            reports.len()
-        ));
         time::sleep(POLL_INTERVAL).await;
     }
 }
--- a/src/cmd/progress.rs
+++ b/src/cmd/progress.rs
@@ -106,8 +106,10 @@
     })
 }
 
+/// The VM list names at least one target in each data centre of the result, so
+/// a report without any comes from a coordinator that has not seen it yet.
 fn is_live(row: &Row) -> bool {
-    row.reported && row.live >= row.targets
+    row.live > 0 && row.live >= row.targets
 }
 
 fn typed<S: crate::resource::Resource>(objects: &[Raw]) -> Vec<Object<S>> {
--- a/tests/operator_progress.rs
+++ b/tests/operator_progress.rs
@@ -81,7 +81,13 @@
     );
     observed.apply(modified(raw("summer@cb-a", 9, report("cb-a", 7, 2))));
     assert!(!progress::of("summer", &observed).unwrap().done);
-    observed.apply(modified(raw("summer@ne-a", 10, report("ne-a", 7, 2))));
+    let unaware = status::Status {
+        targets: 0,
+        ..report("ne-a", 7, 0)
+    };
+    observed.apply(modified(raw("summer@ne-a", 10, unaware)));
+    assert!(!progress::of("summer", &observed).unwrap().done);
+    observed.apply(modified(raw("summer@ne-a", 11, report("ne-a", 7, 2))));
     assert!(progress::of("summer", &observed).unwrap().done);
 }
 
