--- a/src/resource.rs
+++ b/src/resource.rs
@@ -10,6 +10,7 @@
 pub mod account;
 pub mod burn;
 pub mod drain;
+pub mod journal;
 pub mod lease;
 pub mod model;
 pub mod rollout;
@@ -242,7 +243,10 @@
         Kind::Status => Object::<status::Status>::from_raw(raw).map(drop),
         Kind::Vm => Object::<vm::Vm>::from_raw(raw).map(drop),
         Kind::Burn => Object::<burn::Burn>::from_raw(raw).map(drop),
-        Kind::Journal => check_name(&raw.metadata.name),
+        Kind::Journal if raw.metadata.name.starts_with("segment.") => {
+            Object::<journal::Segment>::from_raw(raw).map(drop)
+        }
+        Kind::Journal => Object::<journal::Head>::from_raw(raw).map(drop),
     }
 }
 
