Add the report of error budgets

`report burn` adds up the Burn objects of all data centres over 5 min, 1 h and 6 h per service and account, compares them with the service's objective, says what spent the budget and draws the rates as SVG. The alert column follows multi-window burn rates: both short windows above 14.4, or the longest above 6.

Rates are a pure function of objects and minute in src/burn/rates.rs.

--- a/src/burn.rs
+++ b/src/burn.rs
@@ -8,6 +8,8 @@
 use crate::control::pb;
 use crate::telemetry;
 
+pub mod rates;
+
 /// Most pairs of service and account that are counted apart. The account is
 /// dropped above it, so names from outside can't exhaust the memory.
 const MAX_ROWS: usize = 10_000;
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -23,6 +23,7 @@
 pub mod model;
 pub mod options;
 pub mod plan;
+pub mod plot;
 pub mod progress;
 pub mod references;
 pub mod remote;
--- a/standins/tests/operators.rs
+++ b/standins/tests/operators.rs
@@ -4,13 +4,13 @@
 #![allow(clippy::unwrap_used)]
 
 use std::fs;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use corianderramp::cmd::console::{Console, Format};
 use corianderramp::cmd::error::Error;
 use corianderramp::cmd::options::Options;
 use corianderramp::cmd::remote::Remote;
-use corianderramp::resource::{Kind, Object, Raw, drain, status};
+use corianderramp::resource::{Kind, Object, Raw, burn, drain, status};
 use insta::assert_snapshot;
 use standins::platform::faults::Faults;
 use standins::platform::{self, Handle};
@@ -412,3 +412,59 @@
     assert_eq!(bench.spec(Kind::Drain, "cb-a-t1"), None);
     assert_eq!(bench.spec(Kind::Rollout, "summer"), None);
 }
+
+/// Writes counts of one account, two minutes old.
+fn spend(bench: &Bench, account: &str, good: u64, late: u64, refused: u64) {
+    let now = SystemTime::UNIX_EPOCH.elapsed().unwrap().as_secs() / 60;
+    let count = burn::Count {
+        service: "shake-llm".into(),
+        account: account.into(),
+        good,
+        late,
+        refused,
+        ..burn::Count::default()
+    };
+    let spec = burn::Burn {
+        data_center: "cb-a".into(),
+        epoch: 1,
+        minute: now - 2,
+        counts: vec![count],
+    };
+    // One object per account keeps the test short; readers only add them up.
+    let object = Object::new(format!("cb-a.{account}"), spec);
+    bench.handle.force(object.to_raw().unwrap());
+}
+
+/// Guards against a report that hides what spent the budget or data centres
+/// whose counts are missing.
+#[tokio::test]
+async fn burn_report_shows_rates_causes_and_missing_data_centers() {
+    let bench = Bench::start().await;
+    bench.run(&["apply", &bench.file(OBJECTS)]).await;
+    spend(&bench, "glenrosa", 9_990, 4, 6);
+    spend(&bench, "flood", 500, 0, 9_500);
+    assert_snapshot!("burn", bench.transcript(&["report", "burn"]).await);
+    let svg = bench.folder.path().join("burn.svg");
+    let one = [
+        "report",
+        "burn",
+        "--account",
+        "flood",
+        "-o",
+        "json",
+        "--svg",
+        svg.to_str().unwrap(),
+    ];
+    let ran = bench.run(&one).await;
+    let report: serde_json::Value = serde_json::from_str(&ran.out).unwrap();
+    assert_eq!(report["rows"].as_array().unwrap().len(), 1);
+    assert_eq!(report["rows"][0]["counts"]["refused"], 9_500);
+    assert_eq!(report["silent_data_centers"][0], "ne-a");
+    let svg = fs::read_to_string(svg).unwrap();
+    assert!(svg.contains("<svg") && svg.contains("shake-llm flood"));
+    let nowhere = bench.folder.path().join("no/folder.svg");
+    let ran = bench
+        .run(&["report", "burn", "--svg", nowhere.to_str().unwrap()])
+        .await;
+    assert_eq!(ran.status, 8);
+}
