Assemble the daemon from its parts

One settings file decides the role. Listeners are bound before anything else starts, so a taken address leaves nothing running.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -48,7 +48,7 @@
         .version(clap::crate_version!())
         .arg(flag(
             "check",
-            "Check the settings file and exit: 0 when it can be used, 1 otherwise",
+            "Check the settings file and exit: 0 when it can be used, 2 otherwise",
         ))
         .arg(path("file").required(true).help("Settings, a TOML file"))
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,14 +2,30 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use snafu::{ResultExt, Snafu};
+use log::info;
+use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::net::TcpListener;
+use tokio::signal::unix::{self, SignalKind};
+use tokio::time;
 use tokio_util::sync::CancellationToken;
+use tonic::service::Routes;
 
-use crate::blackboard::Blackboard;
+use crate::blackboard::{Blackboard, Phase};
+use crate::clock;
 use crate::control;
+use crate::platform;
+use crate::resource::vm;
 use crate::settings::Settings;
+use crate::{agent, burn, config, entry, journal, telemetry, weights};
+
+/// Time in which background tasks end before the process exits.
+const STOP_GRACE: Duration = Duration::from_millis(200);
+
+/// Time allowed for handing journal shards over. Without the platform they can't
+/// be handed over, and another entry takes them as the journal's mode allows.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(5);
 
 /// Why the daemon can't run.
 #[derive(Debug, Snafu)]
@@ -28,6 +44,18 @@
         /// Cause.
         source: control::Error,
     },
+    /// Signals can't be received.
+    #[snafu(display("can't receive signals: {source}"))]
+    Signal {
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The settings lack what the role needs.
+    #[snafu(display("{key} is missing"))]
+    Missing {
+        /// Key of the settings file.
+        key: &'static str,
+    },
 }
 
 /// What every part of a process shares.
@@ -45,6 +73,21 @@
     pub stop: CancellationToken,
 }
 
+impl Context {
+    /// Context of a new process.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        let pool = control::Pool::new(settings.bind);
+        Self {
+            settings: Arc::new(settings),
+            board: Arc::default(),
+            pool: Arc::new(pool),
+            boot: platform::new_id(),
+            stop: CancellationToken::new(),
+        }
+    }
+}
+
 /// Opens a listener.
 ///
 /// # Errors
@@ -54,3 +97,102 @@
         .await
         .context(ListenSnafu { address })
 }
+
+/// Runs the process until it receives SIGTERM or SIGINT and has finished the
+/// requests in progress.
+///
+/// # Errors
+/// Fails when an address is taken or a setting is missing; nothing is started then.
+pub async fn run(settings: Settings) -> Result<(), Error> {
+    let ctx = Context::new(settings);
+    let role = ctx.settings.role;
+    let mut terminate = unix::signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let mut interrupt = unix::signal(SignalKind::interrupt()).context(SignalSnafu)?;
+    let control = listen(ctx.settings.listen.control).await?;
+    let operators = listen(ctx.settings.listen.operators).await?;
+    telemetry::init();
+    tokio::spawn(telemetry::serve(
+        operators,
+        ctx.board.clone(),
+        ctx.stop.clone(),
+    ));
+    let (routes, journal) = match role {
+        vm::Role::Entry => start_entry(&ctx).await?,
+        vm::Role::Target => (start_agent(&ctx).await?, None),
+    };
+    let server = tokio::spawn(control::serve(control, routes, ctx.stop.clone()));
+    tokio::spawn(become_ready(ctx.clone()));
+    info!(vm = ctx.settings.vm.as_str(), boot = ctx.boot.as_str(); "started");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    drain(&ctx).await;
+    if let Some(journal) = journal {
+        let _ = time::timeout(HAND_OVER_LIMIT, journal.hand_over()).await;
+    }
+    ctx.stop.cancel();
+    let _ = time::timeout(STOP_GRACE, server).await;
+    info!(vm = ctx.settings.vm.as_str(); "stopped");
+    Ok(())
+}
+
+async fn start_entry(ctx: &Context) -> Result<(Routes, Option<journal::Handle>), Error> {
+    let clock = clock::System;
+    let callers = ctx.settings.listen.callers.context(MissingSnafu {
+        key: "listen.callers",
+    })?;
+    let remote = ctx.settings.platform.as_ref().context(MissingSnafu {
+        key: "platform.address",
+    })?;
+    let listener = listen(callers).await?;
+    let client = platform::Client::new(remote.address, ctx.settings.bind);
+    let counter = burn::Counter::default();
+    let (config, sync) = config::start(ctx, clock);
+    let _ = (&client, &config);
+    let (journal, journal_server) = journal::start(ctx, clock, client);
+    let shares = entry::start(ctx, clock, listener, journal.clone(), counter);
+    let routes = Routes::new(sync)
+        .add_service(journal_server)
+        .add_service(shares);
+    Ok((routes, Some(journal)))
+}
+
+async fn start_agent(ctx: &Context) -> Result<Routes, Error> {
+    let clock = clock::System;
+    let requests = ctx.settings.listen.requests.context(MissingSnafu {
+        key: "listen.requests",
+    })?;
+    let listener = listen(requests).await?;
+    let (_, sync) = config::start(ctx, clock);
+    let (weights, weights_server) = weights::start(ctx, clock);
+    let reports = agent::serve(ctx, listener);
+    agent::switch::start(ctx, clock, &weights);
+    Ok(Routes::new(sync)
+        .add_service(weights_server)
+        .add_service(reports))
+}
+
+/// Sets phase `Ready` once the configuration is known.
+async fn become_ready(ctx: Context) {
+    let mut views = ctx.board.config.subscribe();
+    let known = views.wait_for(|view| view.complete > 0).await;
+    if known.is_ok() {
+        ctx.board.phase.send_if_modified(|phase| {
+            let starting = *phase == Phase::Starting;
+            *phase = Phase::max(*phase, Phase::Ready);
+            starting
+        });
+    }
+}
+
+/// Takes no new requests and waits for those in progress, at most for the
+/// time that the settings allow.
+async fn drain(ctx: &Context) {
+    ctx.board.phase.send_replace(Phase::Draining);
+    info!(vm = ctx.settings.vm.as_str(), active = *ctx.board.active.borrow(); "draining");
+    let mut active = ctx.board.active.subscribe();
+    let idle = active.wait_for(|count| *count == 0);
+    let limit = Duration::from_millis(ctx.settings.limits.drain_ms);
+    let _ = time::timeout(limit, idle).await;
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod relay;
 pub mod rig;
 pub mod service;
+pub mod site;
 pub mod toolkit;
