--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -123,6 +123,18 @@
     /// # Errors
     /// Fails when an address can't be listened at.
     pub async fn start(settings: &Settings) -> Result<Self, toolkit::Error> {
+        let mut fleet = Self::prepare(settings).await?;
+        for index in 0..fleet.agents.len() {
+            fleet.revive(index).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts engines, origin and relay, without agents.
+    ///
+    /// # Errors
+    /// Fails when an address can't be listened at.
+    pub async fn prepare(settings: &Settings) -> Result<Self, toolkit::Error> {
         let subnet = settings.subnet;
         let origin = origin::Origin::start(origin::Settings {
             listen: subnet.address(ORIGIN, TARGET_PORT),
@@ -166,27 +178,38 @@
         };
         view.services.push(Arc::new(Object::new(SERVICE, spec)));
         view.complete = 1;
-        let mut fleet = Self {
+        Ok(Self {
             agents,
             origin,
             relay,
             view,
             coordinator: None,
             subnet,
-        };
-        for index in 0..fleet.agents.len() {
-            fleet.revive(index).await?;
-        }
-        Ok(fleet)
+        })
+    }
+
+    /// Control address of an agent as others reach it.
+    #[must_use]
+    pub fn control(&self, index: usize) -> SocketAddr {
+        self.view.vms[index].spec.control
     }
 
     /// Declares a version as the newest rollout, with its manifest.
     pub fn declare(&mut self, manifest: &Object<model::Model>) -> u64 {
+        self.declare_with(manifest, rollout::Strategy::Time)
+    }
+
+    /// The same with a strategy.
+    pub fn declare_with(
+        &mut self,
+        manifest: &Object<model::Model>,
+        strategy: rollout::Strategy,
+    ) -> u64 {
         let spec = rollout::Rollout {
             service: SERVICE.into(),
             model: manifest.spec.model.clone(),
             version: manifest.spec.version.clone(),
-            strategy: rollout::Strategy::Time,
+            strategy,
             max_unavailable: 1,
             join: rollout::Join::Newest,
         };
--- a/standins/tests/weights.rs
+++ b/standins/tests/weights.rs
@@ -343,7 +343,8 @@
     let down = |f: &Fleet| f.relay.as_ref().unwrap().stats().vms[1].down;
     let received = down(&fleet);
     fleet.revive(0).await.unwrap();
-    wait_live(&fleet, generation).await;
+    let complete = fleet.wait_all("verified", LIMIT, |a| a.is_verified(generation));
+    complete.await.unwrap();
     let again = down(&fleet) - received;
     assert!(again < u64::from(CHUNK), "{again} bytes after the restart");
 }
