--- /dev/null
+++ b/standins/src/journal.rs
@@ -0,0 +1,9 @@
+//! Entries with real journals in one process, an object API with faults, links
+//! that can be cut and a service that records what it executes. Tests and the
+//! journal experiment run them and record histories.
+
+pub mod ledger;
+pub mod node;
+pub mod plan;
+pub mod store;
+pub mod wire;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,8 +3,11 @@
 //! their own process; `standins` runs each as a process of its own.
 
 pub mod args;
+pub mod content;
 pub mod engine;
 pub mod experiment;
+pub mod harness;
+pub mod journal;
 pub mod load;
 pub mod origin;
 pub mod platform;
