--- a/src/journal.rs
+++ b/src/journal.rs
@@ -24,6 +24,13 @@
 pub mod store;
 pub mod table;
 
+#[cfg(test)]
+mod held_test;
+#[cfg(test)]
+mod ownership_test;
+#[cfg(test)]
+mod table_test;
+
 use held::{Answer, Task};
 use key::{Attempt, Finish};
 use route::{Outcome, Parcel, Router};
--- a/standins/src/journal/plan.rs
+++ b/standins/src/journal/plan.rs
@@ -95,19 +95,19 @@
             seed,
             mode,
             nodes: 4,
-            callers: 8,
-            operations: 30,
+            callers: 32,
+            operations: 8,
             think: Duration::from_millis(20),
             faults: faults.to_vec(),
-            interval: Duration::from_millis(250),
+            interval: Duration::from_millis(100),
             pauses: 0.0,
-            twice: 0.2,
+            twice: 0.3,
             service: (0.05, 0.05),
             journal: settings::Journal {
                 shards: 2,
                 batch_ms: 10,
                 // Longer than a caller's resends, an attempt and a pause together.
-                resend_ms: 4_000,
+                resend_ms: 5_000,
                 ..settings::Journal::default()
             },
             unconditional: false,
@@ -349,6 +349,12 @@
             outcomes.extend(&results);
             let done = results.iter().any(|o| matches!(o, Outcome::Done(_)));
             if done || Instant::now() >= end {
+                // A late copy must meet what is known about the operation.
+                time::sleep(Duration::from_millis(random.random_range(0..1_000))).await;
+                let nodes = self.nodes();
+                if let Some(node) = nodes.choose(random) {
+                    outcomes.push(self.send(key, node.clone()).await);
+                }
                 return outcomes;
             }
             time::sleep(Duration::from_millis(random.random_range(20..150))).await;
