--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod experiment;
 pub mod fleet;
 pub mod harness;
+pub mod journal;
 pub mod load;
 pub mod origin;
 pub mod platform;
