Tell the burn windows apart in their test

With only bad requests in the test, every window had the same rate, so a window that was one minute too long passed. The test now fails for that change (tried in a scratch copy).

--- a/tests/burn_rates.rs
+++ b/tests/burn_rates.rs
@@ -40,7 +40,7 @@
 #[test]
 fn each_window_counts_its_own_minutes() {
     let burns = [
-        minute("cb-a", 4, "glenrosa", 0, 1),
+        minute("cb-a", 4, "glenrosa", 1, 1),
         minute("cb-a", 5, "glenrosa", 0, 10),
         minute("cb-a", 59, "glenrosa", 0, 100),
         minute("cb-a", 60, "glenrosa", 0, 1000),
@@ -50,9 +50,10 @@
     let row = &rows(&burns)[1];
     assert_eq!(row.account, "glenrosa");
     assert_eq!(row.counts.refused, 1111);
-    assert_eq!(row.counts.good, 99_000);
-    assert!((row.rates[0] - 100.0).abs() < 1e-6);
-    assert!((row.rates[2] - 1111.0 / 100_111.0 * 100.0).abs() < 1e-6);
+    assert_eq!(row.counts.good, 99_001);
+    assert!((row.rates[0] - 50.0).abs() < 1e-6);
+    assert!((row.rates[1] - 111.0 / 112.0 * 100.0).abs() < 1e-6);
+    assert!((row.rates[2] - 1111.0 / 100_112.0 * 100.0).abs() < 1e-6);
     assert!((row.left - (1.0 - row.rates[2])).abs() < 1e-9);
 }
 
