Add the coordinator

The lease decision is a pure state machine. The holder counts its lease from the sending of the last write that is known to have succeeded. Without the platform the holder stays active; if it is silent, candidates take over the soft duties in rendezvous order, and of two the one with the lower weight steps down. Answers to pushes name the coordinator that the receiver knew before, which shows a rival even when the VM list names neither.

--- a/src/config/handle.rs
+++ b/src/config/handle.rs
@@ -128,10 +128,16 @@
             return;
         }
         self.set_coordinator(coordinator.clone());
-        let at = now;
-        self.shared
-            .heard
-            .send_replace(Some(Heard { coordinator, at }));
+        self.note_alive(coordinator, now);
+    }
+
+    /// Takes note that a coordinator is active without taking it over.
+    pub(crate) fn note_alive(&self, coordinator: pb::Coordinator, now: Instant) {
+        let heard = Heard {
+            coordinator,
+            at: now,
+        };
+        self.shared.heard.send_replace(Some(heard));
     }
 
     /// Takes over the coordinator that a peer names, if its epoch is newer.
@@ -142,6 +148,11 @@
         }
     }
 
+    /// Makes this process known as the coordinator.
+    pub(crate) fn announce(&self, coordinator: pb::Coordinator) {
+        self.set_coordinator(coordinator);
+    }
+
     /// Highest epoch that is known.
     #[must_use]
     pub fn epoch(&self) -> u64 {
--- a/src/config/sync.rs
+++ b/src/config/sync.rs
@@ -80,11 +80,15 @@
         if let Some(delta) = assembly.finish() {
             self.handle.apply(delta);
         }
+        let before = self.board.coordinator.borrow().clone();
         if let Some(coordinator) = coordinator {
             self.handle.hear(coordinator, self.clock.now());
         }
         let complete = self.handle.revisions().complete;
-        Ok(Response::new(pb::PushReply { complete }))
+        Ok(Response::new(pb::PushReply {
+            complete,
+            coordinator: before,
+        }))
     }
 }
 
--- /dev/null
+++ b/src/coordinator/keeper.rs
@@ -0,0 +1,159 @@
+//! Competes for the lease and publishes the role of this process.
+
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::blackboard::Phase;
+use crate::clock::Clock;
+use crate::config;
+use crate::control::pb;
+use crate::coordinator::lease::{Action, Heard, Identity, Role, State, Surroundings};
+use crate::daemon;
+use crate::membership;
+use crate::platform::{Api, Error};
+use crate::rendezvous;
+use crate::resource::{Kind, Object, Raw, lease};
+
+/// Longest time for one call. With [`crate::coordinator::lease::DURATION`] it
+/// leaves room for a second attempt before the lease ends.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Longest pause, after which the surroundings are looked at again.
+const MAX_PAUSE: Duration = Duration::from_millis(250);
+
+/// Order of the candidates of a data centre.
+#[must_use]
+pub fn rank(view: &config::View, data_center: &str, vm: &str) -> Option<usize> {
+    let names = membership::entries_in(view, data_center).map(|v| v.metadata.name.as_str());
+    let ranked = rendezvous::rank(data_center.as_bytes(), names);
+    ranked.iter().position(|n| *n == vm)
+}
+
+fn weight(data_center: &str, vm: &str) -> u64 {
+    rendezvous::weight(data_center.as_bytes(), vm)
+}
+
+/// Competes for the lease until the process stops, then releases it.
+pub(super) async fn run<C: Clock, P: Api>(
+    ctx: daemon::Context,
+    clock: C,
+    platform: P,
+    config: config::Handle,
+    role: watch::Sender<Role>,
+) {
+    let identity = Identity {
+        data_center: ctx.settings.data_center.clone(),
+        vm: ctx.settings.vm.clone(),
+        boot: ctx.boot.clone(),
+        address: ctx.settings.control_address(),
+    };
+    let mut state = State::new(identity, clock.now());
+    while !ctx.stop.is_cancelled() {
+        state.update(surroundings(&ctx, &config), config.epoch(), clock.now());
+        publish(&ctx, &config, &role, state.role());
+        match state.next(clock.now()) {
+            Action::Wait(pause) => pause_for(&ctx, pause.min(MAX_PAUSE)).await,
+            Action::Read => read(&mut state, &clock, &platform, &ctx).await,
+            Action::Write(lease) => write(&mut state, &clock, &platform, lease).await,
+        }
+    }
+    release(&state, &platform).await;
+    role.send_replace(Role::default());
+}
+
+async fn pause_for(ctx: &daemon::Context, pause: Duration) {
+    tokio::select! {
+        () = ctx.stop.cancelled() => {}
+        () = time::sleep(pause) => {}
+    }
+}
+
+fn surroundings(ctx: &daemon::Context, config: &config::Handle) -> Surroundings {
+    let view = ctx.board.view();
+    let settings = &ctx.settings;
+    let heard = config.heard().filter(|h| h.coordinator.vm != settings.vm);
+    let own = config::find(&view.vms, &settings.vm);
+    let asked = own.is_some_and(|v| membership::is_leaving(&view, v));
+    Surroundings {
+        rank: rank(&view, &settings.data_center, &settings.vm),
+        weight: weight(&settings.data_center, &settings.vm),
+        leaving: asked || *ctx.board.phase.borrow() == Phase::Draining,
+        heard: heard.map(|h| Heard {
+            at: h.at,
+            epoch: h.coordinator.epoch,
+            weight: weight(&settings.data_center, &h.coordinator.vm),
+        }),
+    }
+}
+
+fn publish(
+    ctx: &daemon::Context,
+    config: &config::Handle,
+    sender: &watch::Sender<Role>,
+    role: Role,
+) {
+    let before = *sender.borrow();
+    sender.send_if_modified(|r| std::mem::replace(r, role) != role);
+    if before.active == role.active && before.holder == role.holder && before.epoch == role.epoch {
+        return;
+    }
+    log::info!(
+        active = role.active, holder = role.holder, epoch = role.epoch;
+        "coordinator role changed"
+    );
+    if role.active {
+        config.announce(pb::Coordinator {
+            epoch: role.epoch,
+            vm: ctx.settings.vm.clone(),
+            address: ctx.settings.control_address().to_string(),
+        });
+    }
+}
+
+async fn read<C: Clock, P: Api>(state: &mut State, clock: &C, platform: &P, ctx: &daemon::Context) {
+    let sent = clock.now();
+    let call = platform.get(Kind::Lease, &ctx.settings.data_center);
+    let answer = time::timeout(CALL_TIMEOUT, call).await;
+    match answer.map(|a| a.map(|lease| lease.as_ref().and_then(parse))) {
+        Ok(Ok(lease)) => state.on_read(lease, sent, clock.now()),
+        _ => state.on_failure(clock.now()),
+    }
+}
+
+async fn write<C: Clock, P: Api>(
+    state: &mut State,
+    clock: &C,
+    platform: &P,
+    lease: Object<lease::Lease>,
+) {
+    let sent = clock.now();
+    let Ok(raw) = lease.to_raw() else {
+        return state.on_failure(clock.now());
+    };
+    match time::timeout(CALL_TIMEOUT, platform.put(raw)).await {
+        Ok(Ok(written)) => match parse(&written) {
+            Some(lease) => state.on_written(lease, sent),
+            None => state.on_failure(clock.now()),
+        },
+        Ok(Err(Error::Conflict { current })) => {
+            let current = current.as_deref().and_then(parse);
+            state.on_conflict(current, sent, clock.now());
+        }
+        _ => state.on_failure(clock.now()),
+    }
+}
+
+/// Lets the next candidate start at once.
+async fn release<P: Api>(state: &State, platform: &P) {
+    if let Some(lease) = state.released()
+        && let Ok(raw) = lease.to_raw()
+    {
+        let _ = time::timeout(CALL_TIMEOUT, platform.put(raw)).await;
+    }
+}
+
+fn parse(raw: &Raw) -> Option<Object<lease::Lease>> {
+    Object::from_raw(raw).ok()
+}
