--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,13 +3,16 @@
 //! their own process; `standins` runs each as a process of its own.
 
 pub mod args;
+pub mod caller;
 pub mod content;
 pub mod engine;
 pub mod experiment;
+pub mod fleet;
 pub mod harness;
 pub mod load;
 pub mod origin;
 pub mod platform;
 pub mod relay;
+pub mod rig;
 pub mod service;
 pub mod toolkit;
