--- a/src/agent.rs
+++ b/src/agent.rs
@@ -5,11 +5,13 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 
+use crate::clock::Clock;
 use crate::config;
 use crate::control::pb::reports_server::ReportsServer;
 use crate::daemon::Context;
 use crate::resource::Object;
 use crate::resource::service::Service;
+use crate::weights;
 
 pub mod drain;
 pub mod engine;
@@ -19,14 +21,38 @@
 pub mod reports;
 pub mod switch;
 
-/// Starts admission and reports of the target; the returned gRPC service
-/// streams the reports to entries. What the engine may serve is read from
-/// `board.serving`.
-pub fn serve(ctx: &Context, listener: TcpListener) -> ReportsServer<reports::Server> {
+/// Starts admission, reports and the switch controller of the target; the
+/// returned gRPC service streams the reports to entries.
+pub fn start<C: Clock>(
+    ctx: &Context,
+    clock: C,
+    listener: TcpListener,
+    weights: &weights::Handle,
+) -> ReportsServer<reports::Server> {
+    switch::start(ctx, clock.clone(), weights);
+    admit(ctx, clock, listener, Some(weights.clone()))
+}
+
+/// Starts admission and reports without the switch controller: what the engine
+/// may serve is read from `board.serving`, which the caller sets.
+pub fn serve<C: Clock>(
+    ctx: &Context,
+    clock: C,
+    listener: TcpListener,
+) -> ReportsServer<reports::Server> {
+    admit(ctx, clock, listener, None)
+}
+
+fn admit<C: Clock>(
+    ctx: &Context,
+    clock: C,
+    listener: TcpListener,
+    weights: Option<weights::Handle>,
+) -> ReportsServer<reports::Server> {
     let draining = drain::start(ctx);
     let broken = Arc::new(Notify::new());
     let observed = probe::start(ctx, broken.clone());
-    gate::start(ctx, listener, draining.clone(), broken);
+    gate::start(ctx, clock, listener, weights, draining.clone(), broken);
     ReportsServer::new(reports::Server::new(ctx, draining, observed))
 }
 
--- a/src/agent/forward.rs
+++ b/src/agent/forward.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -12,6 +13,8 @@
 use tokio::sync::Notify;
 
 use crate::blackboard::Blackboard;
+use crate::clock::Clock;
+use crate::weights;
 
 /// Counts a request as in progress until it is dropped.
 #[derive(Debug)]
@@ -63,9 +66,35 @@
     }
 }
 
+/// Tells the pacing of transfers how long an answer took to begin.
+#[derive(Debug)]
+pub struct Timing<C: Clock> {
+    clock: C,
+    weights: weights::Handle,
+    started: Instant,
+}
+
+impl<C: Clock> Timing<C> {
+    /// Timing of a request that is sent now.
+    #[must_use]
+    pub fn new(clock: &C, weights: &weights::Handle) -> Self {
+        Self {
+            clock: clock.clone(),
+            weights: weights.clone(),
+            started: clock.now(),
+        }
+    }
+
+    fn first_byte(&self) {
+        let now = self.clock.now();
+        let took = now.saturating_duration_since(self.started);
+        self.weights.observe(took, now);
+    }
+}
+
 /// Body of an answer to an entry.
 #[derive(Debug)]
-pub enum Forwarded {
+pub enum Forwarded<C: Clock> {
     /// Text of the agent itself.
     Own(Full<Bytes>),
     /// Answer of the target; the request counts as in progress until it ends.
@@ -78,10 +107,14 @@
         _alone: Option<Alone>,
         /// Told when the target breaks the answer off.
         broken: Arc<Notify>,
+        /// Used up by the first frame.
+        timing: Option<Timing<C>>,
     },
 }
 
-impl Body for Forwarded {
+impl<C: Clock> Unpin for Forwarded<C> {}
+
+impl<C: Clock> Body for Forwarded<C> {
     type Data = Bytes;
     type Error = hyper::Error;
 
@@ -93,10 +126,17 @@
             Self::Own(full) => Pin::new(full)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
-            Self::Target { body, broken, .. } => {
+            Self::Target {
+                body,
+                broken,
+                timing,
+                ..
+            } => {
                 let frame = ready!(Pin::new(body).poll_frame(cx));
-                if matches!(frame, Some(Err(_))) {
-                    broken.notify_one();
+                match (&frame, timing.take()) {
+                    (Some(Ok(_)), Some(timing)) => timing.first_byte(),
+                    (Some(Err(_)), _) => broken.notify_one(),
+                    _ => {}
                 }
                 Poll::Ready(frame)
             }
--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -23,11 +23,13 @@
 use tokio::sync::{Notify, watch};
 use tokio::time;
 
-use super::forward::{Active, Alone, Forwarded};
+use super::forward::{Active, Alone, Forwarded, Timing};
 use crate::blackboard::{Phase, Serving};
+use crate::clock::Clock;
 use crate::daemon::Context;
 use crate::protocol::{self, Reason};
 use crate::resource::service::Backend;
+use crate::weights;
 
 /// Interval of HTTP/2 pings to entries.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
@@ -51,8 +53,11 @@
 type Client = legacy::Client<HttpConnector, Incoming>;
 
 #[derive(Debug)]
-struct Gate {
+struct Gate<C: Clock> {
     ctx: Context,
+    clock: C,
+    /// Told how long answers take; `None` without transfers.
+    weights: Option<weights::Handle>,
     client: Client,
     target: SocketAddr,
     slots: u32,
@@ -114,9 +119,11 @@
 }
 
 /// Serves entries on `listener` until the process stops.
-pub fn start(
+pub fn start<C: Clock>(
     ctx: &Context,
+    clock: C,
     listener: TcpListener,
+    weights: Option<weights::Handle>,
     draining: watch::Receiver<bool>,
     broken: Arc<Notify>,
 ) {
@@ -125,6 +132,8 @@
     };
     let gate = Arc::new(Gate {
         ctx: ctx.clone(),
+        clock,
+        weights,
         client: client(),
         target: target.address,
         slots: target.slots,
@@ -146,7 +155,7 @@
         .build(connector)
 }
 
-async fn accept(listener: TcpListener, gate: Arc<Gate>) {
+async fn accept<C: Clock>(listener: TcpListener, gate: Arc<Gate<C>>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => drop(tokio::spawn(serve(stream, gate.clone()))),
@@ -156,7 +165,7 @@
     }
 }
 
-async fn serve(stream: TcpStream, gate: Arc<Gate>) {
+async fn serve<C: Clock>(stream: TcpStream, gate: Arc<Gate<C>>) {
     let _ = stream.set_nodelay(true);
     let stop = gate.ctx.stop.clone();
     let service = service_fn(move |request| {
@@ -180,8 +189,8 @@
     let _ = connection.await;
 }
 
-impl Gate {
-    async fn handle(&self, request: Request<Incoming>) -> Response<Forwarded> {
+impl<C: Clock> Gate<C> {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Forwarded<C>> {
         let active = Active::new(&self.ctx.board);
         let alone = if request.headers().contains_key(protocol::ALONE) {
             match self.reserve(request.headers()).await {
@@ -234,11 +243,12 @@
         active: Active,
         alone: Option<Alone>,
         version: Option<String>,
-    ) -> Response<Forwarded> {
+    ) -> Response<Forwarded<C>> {
         let head = request.method() == Method::HEAD;
         let Some(request) = self.outgoing(request) else {
             return refusal(Reason::Unreachable);
         };
+        let timing = self.weights.as_ref().map(|w| Timing::new(&self.clock, w));
         let answer = match self.client.request(request).await {
             Ok(answer) => answer,
             Err(e) if e.is_connect() => {
@@ -263,6 +273,7 @@
             _active: active,
             _alone: alone,
             broken,
+            timing,
         };
         Response::from_parts(parts, body)
     }
@@ -306,7 +317,7 @@
     headers.get(protocol::MODEL_VERSION)?.to_str().ok()
 }
 
-fn refusal(reason: Reason) -> Response<Forwarded> {
+fn refusal<C: Clock>(reason: Reason) -> Response<Forwarded<C>> {
     let mut answer = Response::new(Forwarded::Own(Full::new(Bytes::new())));
     *answer.status_mut() = match reason.outcome() {
         protocol::Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -166,8 +166,7 @@
     let listener = listen(requests).await?;
     let (_, sync) = config::start(ctx, clock);
     let (weights, weights_server) = weights::start(ctx, clock);
-    let reports = agent::serve(ctx, listener);
-    agent::switch::start(ctx, clock, &weights);
+    let reports = agent::start(ctx, clock, listener, &weights);
     Ok(Routes::new(sync)
         .add_service(weights_server)
         .add_service(reports))
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -394,7 +394,7 @@
                 let (Ok(control), Ok(requests)) = listeners else {
                     return;
                 };
-                let reports = agent::serve(&ctx, requests);
+                let reports = agent::serve(&ctx, clock::System, requests);
                 let routes = Routes::new(server).add_service(reports);
                 tokio::spawn(control::serve(control, routes, ctx.stop));
                 let _ = ended.await;
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -144,7 +144,7 @@
         }
         let listener = toolkit::bind(place.address(harness::REQUESTS_PORT)).await?;
         let ctx = context(settings);
-        let reports = agent::serve(&ctx, listener);
+        let reports = agent::serve(&ctx, clock::System, listener);
         control(&ctx, &place, Routes::new(reports)).await?;
         let listed = place.listed(service);
         insert(&mut self.view.vms, listed.clone());
