--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -133,3 +133,22 @@
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
     }
 }
+
+/// Guards against an entry and engines that hash prompts differently, which
+/// would silently end routing by cached prefixes.
+#[test]
+fn entry_and_engine_agree_on_prompt_hashes() {
+    use corianderramp::agent::reports;
+    use corianderramp::entry::prefix;
+
+    let prompt = "shared beginning ".repeat(100);
+    let body = completion(&prompt, 4, true);
+    let read: prefix::Completion = serde_json::from_str(&body).unwrap();
+    let all = engine::cache::hashes(&text(&prompt));
+    let sampled: Vec<u64> = all
+        .into_iter()
+        .filter(|h| reports::is_sampled(*h))
+        .collect();
+    assert!(!sampled.is_empty());
+    assert_eq!(read.hashes(), sampled);
+}
