--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -18,7 +18,7 @@
 use crate::platform;
 use crate::resource::vm;
 use crate::settings::Settings;
-use crate::{agent, burn, config, entry, journal, telemetry, weights};
+use crate::{agent, burn, config, coordinator, entry, journal, telemetry, weights};
 
 /// Time in which background tasks end before the process exits.
 const STOP_GRACE: Duration = Duration::from_millis(200);
@@ -149,10 +149,11 @@
     let client = platform::Client::new(remote.address, ctx.settings.bind);
     let counter = burn::Counter::default();
     let (config, sync) = config::start(ctx, clock);
-    let _ = (&client, &config);
+    let reports = coordinator::start(ctx, clock, &client, counter.clone(), &config);
     let (journal, journal_server) = journal::start(ctx, clock, client);
     let shares = entry::start(ctx, clock, listener, journal.clone(), counter);
     let routes = Routes::new(sync)
+        .add_service(reports)
         .add_service(journal_server)
         .add_service(shares);
     Ok((routes, Some(journal)))
