Slow transfers down from the latency of requests, and run the experiment over processes

The gate publishes the time to the first byte of each answer on the blackboard; the pacer reads it there, so the two parts do not know each other. A mean above the quiet one by more than the noise of single latencies lowers the rate.

The experiment can run each agent as a corianderrampd process; the tool pushes the configuration and collects the reports in the coordinator's place.

--- a/src/agent/forward.rs
+++ b/src/agent/forward.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -33,6 +34,11 @@
     pub fn count(&self) -> u32 {
         *self.board.active.borrow()
     }
+
+    /// Publishes the time to the first byte of the answer.
+    fn answered(&self, latency: Duration) {
+        self.board.latency.send_replace(latency);
+    }
 }
 
 impl Drop for Active {
@@ -51,7 +57,9 @@
         /// Frames of the answer, passed on as they are.
         body: Incoming,
         /// Held until the answer ends.
-        _active: Active,
+        active: Active,
+        /// Begin of the request, until the first byte of the answer.
+        begun: Option<Instant>,
         /// Told when the target breaks the answer off.
         broken: Arc<Notify>,
     },
@@ -69,8 +77,16 @@
             Self::Own(full) => Pin::new(full)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
-            Self::Target { body, broken, .. } => {
+            Self::Target {
+                body,
+                active,
+                begun,
+                broken,
+            } => {
                 let frame = ready!(Pin::new(body).poll_frame(cx));
+                if let Some(begun) = begun.take() {
+                    active.answered(begun.elapsed());
+                }
                 if matches!(frame, Some(Err(_))) {
                     broken.notify_one();
                 }
--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -8,7 +8,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
@@ -200,6 +200,7 @@
         version: Option<String>,
     ) -> Response<Forwarded> {
         let head = request.method() == Method::HEAD;
+        let begun = Instant::now();
         let Some(request) = self.outgoing(request) else {
             return refusal(Reason::Unreachable);
         };
@@ -224,7 +225,8 @@
         let broken = self.broken.clone();
         let body = Forwarded::Target {
             body,
-            _active: active,
+            active,
+            begun: Some(begun),
             broken,
         };
         Response::from_parts(parts, body)
--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -2,6 +2,7 @@
 //! readers; controllers wait for topics and decide from their values.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::watch;
 
@@ -45,6 +46,9 @@
     pub serving: watch::Sender<Option<Serving>>,
     /// Requests in progress at this agent; written by `agent::gate`.
     pub active: watch::Sender<u32>,
+    /// Time to the first byte of the latest answer of the target; written by
+    /// `agent::gate`, read by the pacing of transfers.
+    pub latency: watch::Sender<Duration>,
 }
 
 impl Blackboard {
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time;
@@ -65,12 +65,6 @@
         self.progress.clone()
     }
 
-    /// Notes the time to the first byte of a request that this VM answered.
-    /// Transfers slow down when requests become slower.
-    pub fn observe(&self, latency: Duration, now: Instant) {
-        self.pacer.observe(latency, now);
-    }
-
     /// Share of the highest rate that transfers may use now.
     #[must_use]
     pub fn share(&self) -> f64 {
@@ -117,6 +111,7 @@
         });
         spawn(ctx, &transfers, progress, target.service.clone());
     }
+    tokio::spawn(watch_latency(ctx.clone(), clock.clone(), pacer.clone()));
     let shared = serve::Shared {
         clock,
         board: ctx.board.clone(),
@@ -185,3 +180,16 @@
         }
     }
 }
+
+/// Tells the pacer how long requests on this VM take.
+async fn watch_latency<C: Clock>(ctx: daemon::Context, clock: C, pacer: Arc<pace::Pacer>) {
+    let mut latencies = ctx.board.latency.subscribe();
+    loop {
+        tokio::select! {
+            () = ctx.stop.cancelled() => return,
+            changed = latencies.changed() => if changed.is_err() { return },
+        }
+        let latency = *latencies.borrow_and_update();
+        pacer.observe(latency, clock.now());
+    }
+}
--- a/src/weights/pace.rs
+++ b/src/weights/pace.rs
@@ -21,6 +21,10 @@
 const FAST: f64 = 0.2;
 /// Weight of a new latency in the quiet mean.
 const SLOW: f64 = 0.02;
+/// Deviations of single latencies by which the mean during transfers must lie
+/// above the quiet one. Twice the standard error of a mean with weight 0.2 is
+/// 0.67 standard deviations, or 0.8 mean deviations; less would be noise.
+const NOISE: f64 = 0.8;
 /// Time after the last transferred byte from which latencies count as quiet.
 const QUIET: Duration = Duration::from_secs(2);
 /// Time that a bucket carries over, against late timers.
@@ -36,6 +40,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Controller {
     quiet: Option<f64>,
+    deviation: f64,
     busy: Option<f64>,
     share: f64,
     changed: Option<Instant>,
@@ -47,6 +52,7 @@
     fn default() -> Self {
         Self {
             quiet: None,
+            deviation: 0.0,
             busy: None,
             share: 1.0,
             changed: None,
@@ -74,7 +80,9 @@
         self.observed = Some(now);
         let idle = self.transferred.is_none_or(|t| now - t > QUIET);
         if idle {
-            self.quiet = Some(mean(self.quiet, value, SLOW));
+            let quiet = mean(self.quiet, value, SLOW);
+            self.quiet = Some(quiet);
+            self.deviation = mean(Some(self.deviation), (value - quiet).abs(), SLOW);
             self.busy = None;
             return;
         }
@@ -96,7 +104,7 @@
         }
         self.changed = Some(now);
         let slower = match (self.quiet, self.busy) {
-            (Some(quiet), Some(busy)) => busy > quiet * SLOWER,
+            (Some(quiet), Some(busy)) => busy > quiet * SLOWER + self.deviation * NOISE,
             _ => false,
         };
         self.share = if slower {
--- a/src/weights/swarm.rs
+++ b/src/weights/swarm.rs
@@ -5,37 +5,36 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use log::{info, warn};
+use log::info;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
 use tokio::time;
 
 use super::choice::{self, Chunk, Supplier};
 use super::follow;
-use super::peers::{self, Peers};
+use super::peers::Peers;
 use super::plan::{self, Plan};
 use super::store::Place;
 use super::transfer::{Failure, Job, Transfers};
 use super::want::{self, Wanted};
 use super::{Progress, serve};
 use crate::clock::Clock;
-use crate::control::pb;
 use crate::daemon;
 use crate::digest;
-use crate::resource::{Object, model, rollout};
+use crate::resource::rollout;
 
 /// Interval of decisions while chunks are missing and slots are free.
 const ACTIVE: Duration = Duration::from_millis(20);
 /// Interval of decisions otherwise.
 const IDLE: Duration = Duration::from_millis(250);
-/// First and longest time that the origin is left alone after a failure.
-const ORIGIN_RETRY: Duration = Duration::from_millis(250);
-const MAX_ORIGIN_RETRY: Duration = Duration::from_secs(10);
-/// Time after which the hand-over of a chunk to the engine is tried again.
-const ENGINE_RETRY: Duration = Duration::from_millis(500);
 /// Events of peers that wait to be handled.
 pub(super) const EVENTS: usize = 1024;
 
+mod followers;
+mod outcome;
+
+use followers::Followed;
+
 /// Ends the task when dropped.
 #[derive(Debug)]
 struct Task(AbortHandle);
@@ -46,13 +45,6 @@
     }
 }
 
-#[derive(Debug)]
-struct Followed {
-    peer: String,
-    address: std::net::SocketAddr,
-    _tasks: Vec<Task>,
-}
-
 /// A transfer in progress.
 #[derive(Debug)]
 struct Moving {
@@ -262,93 +254,6 @@
         }
     }
 
-    fn news(&mut self, event: follow::Event) {
-        let now = self.transfers.clock.now();
-        let Some(index) = self.peers.position(&event.peer) else {
-            return;
-        };
-        if event.epoch != self.epoch {
-            return;
-        }
-        match event.news {
-            follow::News::Lost => self.peers.lost(index, now),
-            follow::News::Have(chunks) => {
-                let parts = self.wanted.iter().flat_map(|w| &w.parts);
-                let before: usize = parts.take(event.part).map(|p| p.spec.chunks.len()).sum();
-                let chunks = chunks.iter().map(|c| before + *c as usize);
-                if self.peers.have(index, chunks) {
-                    self.advanced = now;
-                }
-            }
-        }
-    }
-
-    fn done(&mut self, done: &Done) {
-        let Some(position) = self.moving.iter().position(|m| m.id == done.id) else {
-            return;
-        };
-        let now = self.transfers.clock.now();
-        let moving = self.moving.swap_remove(position);
-        let chunk = self.chunks.iter().position(|c| *c == moving.digest);
-        let peer = self.peers.position(&moving.peer);
-        if let Some(index) = peer {
-            self.peers.ended(index);
-        }
-        match &done.result {
-            Ok(()) => {
-                self.advanced = now;
-                if let Some(index) = peer {
-                    self.peers.succeeded(index);
-                } else if moving.download {
-                    self.origin_failures = 0;
-                }
-            }
-            Err(failure) => {
-                self.log(&moving, failure);
-                match (peer, chunk) {
-                    (_, _) if matches!(failure, Failure::Engine { .. }) => {
-                        self.engine_after = Some(now + ENGINE_RETRY);
-                    }
-                    (Some(index), Some(chunk)) => {
-                        self.peers.failed(index, chunk, failure, now);
-                        self.reconnect(index, failure);
-                    }
-                    _ if moving.peer.is_empty() && moving.download => self.origin_failed(now),
-                    _ => {}
-                }
-            }
-        }
-    }
-
-    fn log(&self, moving: &Moving, failure: &Failure) {
-        if matches!(failure, Failure::Busy | Failure::Absent) {
-            return;
-        }
-        let source = if moving.peer.is_empty() {
-            "origin"
-        } else {
-            &moving.peer
-        };
-        warn!(
-            chunk:% = moving.digest, source = source, generation = self.floor;
-            "transfer failed: {failure}"
-        );
-    }
-
-    /// Drops a connection that carried nothing, so that the next transfer uses
-    /// a new one.
-    fn reconnect(&self, index: usize, failure: &Failure) {
-        if matches!(failure, Failure::Stalled { .. } | Failure::Broken { .. }) {
-            self.transfers.pool.forget(self.plan.peers[index].address);
-        }
-    }
-
-    fn origin_failed(&mut self, now: Instant) {
-        let wait = peers::doubled(ORIGIN_RETRY, self.origin_failures, MAX_ORIGIN_RETRY);
-        self.origin_failures += 1;
-        self.origin_after = Some(now + wait);
-    }
-
     /// Starts what is due and publishes the progress.
     fn advance(&mut self, engine: bool) {
         let Some(wanted) = &self.wanted else {
@@ -449,60 +354,6 @@
         });
     }
 
-    /// Follows the peers of the plan while chunks are missing.
-    fn follow(&mut self, complete: bool, now: Instant) {
-        if complete {
-            self.followed.clear();
-            return;
-        }
-        let plan = &self.plan;
-        let is_current = |f: &Followed| {
-            let found = plan.peers.binary_search_by(|p| p.name.cmp(&f.peer));
-            found.is_ok_and(|i| {
-                plan.followed.binary_search(&i).is_ok() && plan.peers[i].address == f.address
-            })
-        };
-        self.followed.retain(is_current);
-        for index in self.plan.followed.clone() {
-            let peer = &self.plan.peers[index];
-            if !self.followed.iter().any(|f| f.peer == peer.name) {
-                self.peers.connecting(index, now);
-                let followed = self.subscribe(index);
-                self.followed.push(followed);
-            }
-        }
-    }
-
-    fn subscribe(&self, index: usize) -> Followed {
-        let peer = &self.plan.peers[index];
-        let parts = self.wanted.iter().flat_map(|w| &w.parts).enumerate();
-        let task = |(part, manifest): (usize, &Arc<Object<model::Model>>)| {
-            let request = pb::HaveRequest {
-                model: manifest.spec.model.clone(),
-                version: manifest.spec.version.clone(),
-                vm: self.ctx.settings.vm.clone(),
-            };
-            let subscription = follow::Subscription {
-                epoch: self.epoch,
-                peer: peer.name.clone(),
-                address: peer.address,
-                part,
-                request,
-            };
-            let run = follow::run(
-                self.ctx.pool.clone(),
-                subscription,
-                self.outputs.events.clone(),
-            );
-            Task(tokio::spawn(run).abort_handle())
-        };
-        Followed {
-            peer: peer.name.clone(),
-            address: peer.address,
-            _tasks: parts.map(task).collect(),
-        }
-    }
-
     fn publish(&self, places: &[Place]) {
         let Some(wanted) = &self.wanted else {
             return;
--- a/standins/src/experiment.rs
+++ b/standins/src/experiment.rs
@@ -1,8 +1,8 @@
 //! Rollouts of weights at several sizes of the fleet: time to N replicas and
 //! origin bytes of the agents, of a star and of a chain on the same stand-ins.
 //!
-//! Agents run in this process, each in a runtime of its own, with engines,
-//! origin and relay; the configuration is written to their blackboards.
+//! Agents run as `corianderrampd` processes or in this process; engines, origin
+//! and relay run in this process. The tool hands out the configuration.
 
 use std::fs;
 use std::io::Write as _;
@@ -21,6 +21,7 @@
 
 mod baseline;
 pub mod plot;
+mod processes;
 
 /// Settings.
 #[derive(Clone, Debug, Deserialize)]
@@ -57,6 +58,10 @@
     /// Share of agents that die when the first agent has a third of the chunks.
     #[serde(default)]
     pub deaths: f64,
+    /// Whether each agent is a `corianderrampd` process of its own; otherwise
+    /// they run in this process, each in a runtime of its own.
+    #[serde(default)]
+    pub processes: bool,
     /// Longest time of one run, seconds.
     pub limit_s: u64,
 }
@@ -227,6 +232,9 @@
     let limit = Duration::from_secs(settings.limit_s);
     let fleet_settings = settings.fleet(agents, seed);
     let (fleet, times) = match method {
+        Method::Agents if settings.processes => {
+            processes::roll_out(settings, &fleet_settings, seed, limit).await?
+        }
         Method::Agents => roll_out(settings, &fleet_settings, seed, limit).await?,
         Method::Star | Method::Chain => {
             let fleet = Fleet::prepare(&fleet_settings).await?;
--- a/standins/src/fleet/permits.rs
+++ b/standins/src/fleet/permits.rs
@@ -57,7 +57,9 @@
         })
     }
 
-    pub(super) fn named(&self) -> pb::Coordinator {
+    /// How agents know it.
+    #[must_use]
+    pub fn named(&self) -> pb::Coordinator {
         pb::Coordinator {
             epoch: 1,
             vm: "coordinator".into(),
