--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -8,7 +8,8 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
@@ -22,8 +23,9 @@
 use tokio::sync::{Notify, watch};
 use tokio::time;
 
-use super::forward::{Active, Forwarded};
+use super::forward::{Active, Alone, Forwarded, Timing};
 use crate::blackboard::{Phase, Serving};
+use crate::clock::Clock;
 use crate::daemon::Context;
 use crate::protocol::{self, Reason};
 use crate::resource::service::Backend;
@@ -41,6 +43,8 @@
 const ADMITTED_PER_SLOT: u32 = 2;
 /// Time allowed for connecting to the target on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Twice the time that a request without a deadline waits to run alone.
+const RESERVE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time without use after which a connection to the target is closed. Servers
 /// close idle connections themselves, and a request that meets the closing is lost.
 const POOL_IDLE: Duration = Duration::from_secs(2);
@@ -48,13 +52,17 @@
 type Client = legacy::Client<HttpConnector, Incoming>;
 
 #[derive(Debug)]
-struct Gate {
+struct Gate<C: Clock> {
     ctx: Context,
+    clock: C,
+    /// Told how long answers take; `None` without transfers.
     client: Client,
     target: SocketAddr,
     slots: u32,
     draining: watch::Receiver<bool>,
     broken: Arc<Notify>,
+    /// Whether the target is kept for a request that runs alone.
+    kept: Arc<AtomicBool>,
 }
 
 /// What an admission depends on.
@@ -72,6 +80,8 @@
     pub active: u32,
     /// Requests that the target runs at the same time.
     pub slots: u32,
+    /// Whether the target is kept for another request.
+    pub reserved: bool,
 }
 
 /// Admits a request, or says why not. Returns the `model@version` that the
@@ -89,6 +99,9 @@
     if state.phase == Phase::Starting {
         return Err(Reason::Starting);
     }
+    if state.reserved {
+        return Err(Reason::Reserved);
+    }
     if state.active > state.slots.saturating_mul(ADMITTED_PER_SLOT) {
         return Err(Reason::Full);
     }
@@ -104,8 +117,9 @@
 }
 
 /// Serves entries on `listener` until the process stops.
-pub fn start(
+pub fn start<C: Clock>(
     ctx: &Context,
+    clock: C,
     listener: TcpListener,
     draining: watch::Receiver<bool>,
     broken: Arc<Notify>,
@@ -115,11 +129,13 @@
     };
     let gate = Arc::new(Gate {
         ctx: ctx.clone(),
+        clock,
         client: client(),
         target: target.address,
         slots: target.slots,
         draining,
         broken,
+        kept: Arc::default(),
     });
     let stop = ctx.stop.clone();
     tokio::spawn(async move { stop.run_until_cancelled(accept(listener, gate)).await });
@@ -135,7 +151,7 @@
         .build(connector)
 }
 
-async fn accept(listener: TcpListener, gate: Arc<Gate>) {
+async fn accept<C: Clock>(listener: TcpListener, gate: Arc<Gate<C>>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => drop(tokio::spawn(serve(stream, gate.clone()))),
@@ -145,7 +161,7 @@
     }
 }
 
-async fn serve(stream: TcpStream, gate: Arc<Gate>) {
+async fn serve<C: Clock>(stream: TcpStream, gate: Arc<Gate<C>>) {
     let _ = stream.set_nodelay(true);
     let stop = gate.ctx.stop.clone();
     let service = service_fn(move |request| {
@@ -169,18 +185,41 @@
     let _ = connection.await;
 }
 
-impl Gate {
-    async fn handle(&self, request: Request<Incoming>) -> Response<Forwarded> {
+impl<C: Clock> Gate<C> {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Forwarded<C>> {
         let active = Active::new(&self.ctx.board);
+        let alone = if request.headers().contains_key(protocol::ALONE) {
+            match self.reserve(request.headers()).await {
+                Some(alone) => Some(alone),
+                None => return refusal(Reason::Reserved),
+            }
+        } else {
+            None
+        };
         let wanted = request.headers().get(protocol::VERSION);
         let wanted = wanted.and_then(|v| v.to_str().ok());
-        match admit(&self.state(&active), wanted) {
-            Ok(version) => self.forward(request, active, version).await,
+        match admit(&self.state(&active, alone.is_some()), wanted) {
+            Ok(version) => self.forward(request, active, alone, version).await,
             Err(reason) => refusal(reason),
         }
     }
 
-    fn state(&self, active: &Active) -> State {
+    /// Keeps the target for one request and waits until the others have ended.
+    /// Others are refused as soon as the target is kept, so the wait is bounded
+    /// by the requests that are in progress.
+    async fn reserve(&self, headers: &HeaderMap) -> Option<Alone> {
+        let alone = Alone::new(&self.kept)?;
+        let timeout = headers.get(protocol::TIMEOUT).and_then(|v| v.to_str().ok());
+        let timeout = timeout.and_then(|v| v.parse().ok());
+        // The other half is left for running it.
+        let wait = timeout.map_or(RESERVE_TIMEOUT, Duration::from_millis) / 2;
+        let mut active = self.ctx.board.active.subscribe();
+        let only = active.wait_for(|n| *n <= 1);
+        time::timeout(wait, only).await.ok()?.ok()?;
+        Some(alone)
+    }
+
+    fn state(&self, active: &Active, alone: bool) -> State {
         let view = self.ctx.board.view();
         let service = super::own_service(&self.ctx, &view);
         State {
@@ -190,6 +229,7 @@
             serving: self.ctx.board.serving.borrow().clone(),
             active: active.count(),
             slots: self.slots,
+            reserved: !alone && self.kept.load(Ordering::SeqCst),
         }
     }
 
@@ -197,13 +237,14 @@
         &self,
         request: Request<Incoming>,
         active: Active,
+        alone: Option<Alone>,
         version: Option<String>,
-    ) -> Response<Forwarded> {
+    ) -> Response<Forwarded<C>> {
         let head = request.method() == Method::HEAD;
-        let begun = Instant::now();
         let Some(request) = self.outgoing(request) else {
             return refusal(Reason::Unreachable);
         };
+        let timing = Some(Timing::new(&self.clock, &self.ctx.board));
         let answer = match self.client.request(request).await {
             Ok(answer) => answer,
             Err(e) if e.is_connect() => {
@@ -225,9 +266,10 @@
         let broken = self.broken.clone();
         let body = Forwarded::Target {
             body,
-            active,
-            begun: Some(begun),
+            _active: active,
+            _alone: alone,
             broken,
+            timing,
         };
         Response::from_parts(parts, body)
     }
@@ -271,7 +313,7 @@
     headers.get(protocol::MODEL_VERSION)?.to_str().ok()
 }
 
-fn refusal(reason: Reason) -> Response<Forwarded> {
+fn refusal<C: Clock>(reason: Reason) -> Response<Forwarded<C>> {
     let mut answer = Response::new(Forwarded::Own(Full::new(Bytes::new())));
     *answer.status_mut() = match reason.outcome() {
         protocol::Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
