--- a/standins/src/journal/ledger.rs
+++ b/standins/src/journal/ledger.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
+use hdrhistogram::Histogram;
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -71,6 +72,7 @@
     order: AtomicU64,
     receipts: AtomicU32,
     records: Mutex<Vec<Record>>,
+    reserves: Mutex<Histogram<u64>>,
     random: Mutex<StdRng>,
     runtime: runtime::Handle,
     /// Shares of executions that the service refuses and whose answer is lost.
@@ -85,10 +87,12 @@
     /// Outside of a tokio runtime.
     #[must_use]
     pub fn new(seed: u64, refused: f64, lost: f64) -> Arc<Self> {
+        let histogram = Histogram::new(3).expect("three digits are allowed");
         Arc::new(Self {
             order: AtomicU64::new(0),
             receipts: AtomicU32::new(1),
             records: Mutex::default(),
+            reserves: Mutex::new(histogram),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
             runtime: runtime::Handle::current(),
             shares: (refused, lost),
@@ -111,6 +115,18 @@
         });
     }
 
+    /// Adds the time that a reservation took.
+    pub fn reserved(&self, time: Duration) {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        let _ = self.reserves.lock().record(micros);
+    }
+
+    /// Times that reservations took, microseconds.
+    #[must_use]
+    pub fn reserves(&self) -> Histogram<u64> {
+        self.reserves.lock().clone()
+    }
+
     /// All records so far.
     #[must_use]
     pub fn records(&self) -> Vec<Record> {
--- a/standins/src/journal/node.rs
+++ b/standins/src/journal/node.rs
@@ -199,7 +199,10 @@
             key: format!("booking-{}", call.key),
             fingerprint: digest::Digest::of(&call.key.to_be_bytes()),
         };
-        let permit = match self.journal.reserve(operation, call.deadline).await {
+        let begin = Instant::now();
+        let reservation = self.journal.reserve(operation, call.deadline).await;
+        self.ledger.reserved(begin.elapsed());
+        let permit = match reservation {
             Reservation::Fresh(permit) => permit,
             Reservation::Done(receipt) => return read(&receipt),
             Reservation::Unavailable { .. } => return Outcome::NotRun,
--- a/standins/src/journal/plan.rs
+++ b/standins/src/journal/plan.rs
@@ -83,6 +83,8 @@
     pub service: (f64, f64),
     /// Journal settings.
     pub journal: settings::Journal,
+    /// Outage of the platform: its begin after the start, and its length.
+    pub outage: Option<(Duration, Duration)>,
     /// Makes all writes unconditional, to show that the check finds it.
     pub unconditional: bool,
 }
@@ -110,22 +112,30 @@
                 resend_ms: 5_000,
                 ..settings::Journal::default()
             },
+            outage: None,
             unconditional: false,
         }
     }
 }
 
-/// What happened in a run.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    /// History.
-    pub records: Vec<Record>,
+/// Ends of operations.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Tally {
     /// Operations that a caller saw done.
     pub served: u64,
     /// Operations whose calls all answered not-run.
     pub refused: u64,
     /// Operations with another end.
     pub unknown: u64,
+}
+
+/// What happened in a run.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// History.
+    pub records: Vec<Record>,
+    /// Operations that began before, during and after the outage.
+    pub phases: [Tally; 3],
     /// Operations that were executed more than once.
     pub doubled: u64,
     /// Faults that happened.
@@ -342,7 +352,7 @@
             for _ in 0..count {
                 let nodes = self.nodes();
                 if let Some(node) = nodes.choose(random) {
-                    calls.push(self.send(key, node.clone()));
+                    calls.push(self.send(key, node.clone(), CALL));
                 }
             }
             let results = futures_util::future::join_all(calls).await;
@@ -353,7 +363,7 @@
                 time::sleep(Duration::from_millis(random.random_range(0..1_000))).await;
                 let nodes = self.nodes();
                 if let Some(node) = nodes.choose(random) {
-                    outcomes.push(self.send(key, node.clone()).await);
+                    outcomes.push(self.send(key, node.clone(), CALL).await);
                 }
                 return outcomes;
             }
@@ -361,14 +371,14 @@
         }
     }
 
-    async fn send(&self, key: u64, node: Arc<Node>) -> Outcome {
+    async fn send(&self, key: u64, node: Arc<Node>, limit: Duration) -> Outcome {
         let begin = self.ledger.tick();
         let call = Call {
             key,
             call: begin,
-            deadline: Instant::now() + ATTEMPT,
+            deadline: Instant::now() + ATTEMPT.max(limit),
         };
-        let answer = time::timeout(CALL, node.call(call)).await;
+        let answer = time::timeout(limit, node.call(call)).await;
         let outcome = answer.ok().and_then(Result::ok).unwrap_or(Outcome::Unknown);
         let step = Step::Call {
             call: begin,
@@ -420,6 +430,14 @@
 pub async fn run(plan: &Plan) -> Report {
     let cluster = Cluster::start(plan).await;
     let mut report = Report::default();
+    let start = Instant::now();
+    if let Some((begin, length)) = plan.outage {
+        let cluster = cluster.clone();
+        tokio::spawn(async move {
+            time::sleep(begin).await;
+            cluster.condition(length, down()).await;
+        });
+    }
     let mut callers = JoinSet::new();
     for caller in 0..plan.callers {
         let (cluster, plan) = (cluster.clone(), plan.clone());
@@ -428,8 +446,9 @@
     let done = Arc::new(Notify::new());
     let chaos = tokio::spawn(disturb(cluster.clone(), plan.clone(), done.clone()));
     while let Some(outcomes) = callers.join_next().await {
-        for outcomes in outcomes.unwrap_or_default() {
-            count(&mut report, &outcomes);
+        for (begin, outcomes) in outcomes.unwrap_or_default() {
+            let phase = phase(plan, begin.saturating_duration_since(start));
+            count(&mut report.phases[phase], &outcomes);
         }
     }
     done.notify_one();
@@ -441,12 +460,14 @@
     report
 }
 
-async fn work(cluster: &Cluster, plan: &Plan, caller: u64) -> Vec<Vec<Outcome>> {
+/// Begin and outcomes of each operation of a caller.
+async fn work(cluster: &Cluster, plan: &Plan, caller: u64) -> Vec<(Instant, Vec<Outcome>)> {
     let mut random = StdRng::seed_from_u64(plan.seed.wrapping_mul(31).wrapping_add(caller));
     let mut outcomes = Vec::new();
     for operation in 0..plan.operations {
         let key = caller * plan.operations + operation;
-        outcomes.push(cluster.operate(key, &mut random).await);
+        let begin = Instant::now();
+        outcomes.push((begin, cluster.operate(key, &mut random).await));
         time::sleep(plan.think).await;
     }
     outcomes
@@ -468,14 +489,58 @@
     }
 }
 
-fn count(report: &mut Report, outcomes: &[Outcome]) {
+fn phase(plan: &Plan, begin: Duration) -> usize {
+    match plan.outage {
+        Some((start, length)) if begin >= start + length => 2,
+        Some((start, _)) if begin >= start => 1,
+        _ => 0,
+    }
+}
+
+fn count(tally: &mut Tally, outcomes: &[Outcome]) {
     if outcomes.iter().any(|o| matches!(o, Outcome::Done(_))) {
-        report.served += 1;
+        tally.served += 1;
     } else if outcomes.iter().all(|o| *o == Outcome::NotRun) {
-        report.refused += 1;
+        tally.refused += 1;
     } else {
-        report.unknown += 1;
+        tally.unknown += 1;
+    }
+}
+
+impl Report {
+    /// Ends of all operations.
+    #[must_use]
+    pub fn total(&self) -> Tally {
+        self.phases.iter().fold(Tally::default(), |sum, t| Tally {
+            served: sum.served + t.served,
+            refused: sum.refused + t.refused,
+            unknown: sum.unknown + t.unknown,
+        })
+    }
+}
+
+/// Sends operations with keys from `first` on at `rate` per second for
+/// `length`, each once to one entry.
+pub async fn load(cluster: &Arc<Cluster>, first: u64, rate: u64, length: Duration) -> Tally {
+    let mut random = StdRng::seed_from_u64(cluster.plan.seed);
+    let mut ticks = time::interval(Duration::from_secs(1) / u32::try_from(rate).unwrap_or(1));
+    let end = Instant::now() + length;
+    let mut calls = JoinSet::new();
+    let mut key = first;
+    while Instant::now() < end {
+        ticks.tick().await;
+        key += 1;
+        let nodes = cluster.nodes();
+        if let Some(node) = nodes.choose(&mut random).cloned() {
+            let cluster = cluster.clone();
+            calls.spawn(async move { cluster.send(key, node, Duration::from_secs(5)).await });
+        }
+    }
+    let mut tally = Tally::default();
+    while let Some(outcome) = calls.join_next().await {
+        count(&mut tally, &[outcome.unwrap_or(Outcome::Unknown)]);
     }
+    tally
 }
 
 /// Operations that were executed more than once.
--- a/standins/tests/journal.rs
+++ b/standins/tests/journal.rs
@@ -75,13 +75,14 @@
         .build()
         .expect("a runtime starts");
     let report = runtime.block_on(plan::run(plan));
+    let total = report.total();
     let summary = format!(
         "seed {} {:?}: served {} refused {} unknown {} doubled {} faults {}",
         plan.seed,
         plan.mode,
-        report.served,
-        report.refused,
-        report.unknown,
+        total.served,
+        total.refused,
+        total.unknown,
         report.doubled,
         report.faults
     );
@@ -93,7 +94,7 @@
     assert!(broken.is_empty(), "{summary}: broken keys {broken:?}");
     assert_eq!(report.doubled, 0, "{summary}");
     // A run in which nothing is served would prove nothing.
-    assert!(report.served > 0, "{summary}");
+    assert!(total.served > 0, "{summary}");
 }
 
 fn record(step: Step, begin: u64, end: u64) -> Record {
