--- a/src/cli.rs
+++ b/src/cli.rs
@@ -70,6 +70,7 @@
         .after_help(STATUSES)
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .disable_help_subcommand(true)
         .args(global())
         .subcommands([apply(), diff(), get(), watch(), delete(), drain()])
         .subcommands([check(), model(), report(), completions(), man()])
@@ -81,15 +82,20 @@
             .long("platform")
             .value_name("IP:PORT")
             .env("CORIANDERRAMP_PLATFORM")
+            .hide_env(true)
             .global(true)
-            .help("Address of the platform's object API"),
+            .help("Address of the platform's object API, otherwise CORIANDERRAMP_PLATFORM"),
         Arg::new("config")
             .long("config")
             .value_name("FILE")
             .env("CORIANDERRAMP_CONFIG")
+            .hide_env(true)
             .value_parser(value_parser!(PathBuf))
             .global(true)
-            .help("TOML file with `platform` and `retry`, used where no argument is given"),
+            .help(
+                "TOML file with `platform` and `retry`, used where no argument is given; \
+                 otherwise CORIANDERRAMP_CONFIG or ~/.config/corianderramp/config.toml",
+            ),
         Arg::new("retry")
             .long("retry")
             .value_name("SECONDS")
@@ -224,7 +230,8 @@
                 .help("Also draw the burn rates of the last 6 h to this file"),
         );
     Command::new("report")
-        .about("Reports")
+        .about("Reports about the past hours")
+        .disable_help_subcommand(true)
         .subcommand_required(true)
         .subcommand(burn)
 }
@@ -240,10 +247,11 @@
 }
 
 fn man() -> Command {
-    Command::new("man").about("Prints a manual page").arg(
-        Arg::new("command")
-            .help("Subcommand, `daemon` for corianderrampd; the tool itself otherwise"),
-    )
+    Command::new("man")
+        .about("Prints a manual page")
+        .arg(Arg::new("command").help(
+            "Subcommand such as `apply` or `report-burn`, or `daemon`; the tool itself otherwise",
+        ))
 }
 
 fn flag(id: &'static str, help: &'static str) -> Arg {
--- a/src/cmd/man.rs
+++ b/src/cmd/man.rs
@@ -17,7 +17,7 @@
     Ok(0)
 }
 
-/// Manual page of a subcommand, of the daemon for `daemon`, of the tool when
+/// Manual page of a subcommand such as `apply` or `report-burn`, of the daemon for `daemon`, of the tool when
 /// `name` is empty.
 ///
 /// # Errors
@@ -39,8 +39,9 @@
         "" => Some(tool),
         "daemon" => Some(cli::daemon()),
         name => {
-            let found = tool.find_subcommand(name)?.clone();
-            Some(found.display_name(format!("corianderramp-{name}")))
+            let mut path = name.split('-');
+            let found = path.try_fold(&tool, |c, part| c.find_subcommand(part));
+            Some(found?.clone().display_name(format!("corianderramp-{name}")))
         }
     }
 }
