--- a/standins/src/load/generate.rs
+++ b/standins/src/load/generate.rs
@@ -56,9 +56,10 @@
     let mut random = SmallRng::seed_from_u64(settings.seed);
     let end = settings.total();
     let mut planned = Vec::new();
-    for (account, one) in settings.accounts.iter().enumerate() {
+    let active = settings.accounts.iter().enumerate();
+    for (account, one) in active.filter(|(_, one)| one.rate > 0.0) {
         let mut at = Duration::ZERO;
-        while one.rate > 0.0 {
+        loop {
             let gap = -(1.0 - random.random::<f64>()).ln() / one.rate;
             at += Duration::from_secs_f64(gap);
             if at >= end {
