--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod harness;
 pub mod load;
+pub mod nodes;
 pub mod origin;
 pub mod platform;
 pub mod relay;
--- /dev/null
+++ b/standins/tests/control_plane.rs
@@ -0,0 +1,390 @@
+//! An accepted configuration must be in force in every reachable process
+//! within 4 s and never revert, whatever fails (design, I7).
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderramp::config::{self, View};
+use corianderramp::platform::{Api, Client, Error};
+use corianderramp::resource::{Kind, Object, Raw, drain, lease, status};
+use parking_lot::Mutex;
+use standins::harness::{self, CONTROL_PORT, Place, Subnet};
+use standins::nodes::{Node, net::Net};
+use standins::platform::faults::Faults;
+use standins::platform::{self, Handle};
+use tokio::net::TcpListener;
+use tokio::time::{self, Instant};
+
+/// Bound of I7.
+const BOUND: Duration = Duration::from_secs(4);
+/// Limit for steps that have no bound of their own, on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+struct Fleet {
+    subnet: Subnet,
+    net: Net,
+    platform: Handle,
+    address: SocketAddr,
+    client: Client,
+    nodes: Vec<Node>,
+    violations: Arc<Mutex<Vec<String>>>,
+}
+
+impl Fleet {
+    /// Two data centres with three entries and three agents each.
+    async fn start(index: u8) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut fleet = Self {
+            subnet: Subnet::new(index),
+            net: Net::default(),
+            platform: platform::start(listener, 10_000, Faults::default()),
+            address,
+            client: Client::new(address, None),
+            nodes: Vec::new(),
+            violations: Arc::default(),
+        };
+        for host in 1..=12 {
+            let place = fleet.place(host, if host <= 6 { "cb-a" } else { "ne-a" });
+            let service = if host % 2 == 0 { "llm" } else { "" };
+            fleet.list(&place, service);
+            fleet.add(&place, service, &[]);
+        }
+        fleet.settle().await;
+        fleet
+    }
+
+    fn place(&self, host: u8, data_center: &str) -> Place {
+        Place {
+            vm: format!("vm-{host}"),
+            ip: self.subnet.ip(host),
+            data_center: data_center.into(),
+            region: "central".into(),
+        }
+    }
+
+    fn list(&self, place: &Place, service: &str) {
+        self.platform.force(place.listed(service).to_raw().unwrap());
+    }
+
+    fn add(&mut self, place: &Place, service: &str, peers: &[SocketAddr]) {
+        let settings = if service.is_empty() {
+            place.entry(self.address, peers)
+        } else {
+            place.agent(service, self.address, peers)
+        };
+        let node = Node::start(settings, &self.net).unwrap();
+        tokio::spawn(watch_for_reverts(
+            node.vm().to_owned(),
+            node.board.config.subscribe(),
+            self.violations.clone(),
+        ));
+        self.nodes.push(node);
+    }
+
+    fn kill(&mut self, host: u8) {
+        let ip = self.subnet.ip(host);
+        let i = self.nodes.iter().position(|n| n.ip() == ip).unwrap();
+        self.nodes.swap_remove(i).kill();
+    }
+
+    /// Waits until the whole VM list is in force everywhere.
+    async fn settle(&self) {
+        let revision = self.platform.revision();
+        let all = self.in_force(&self.nodes, revision, PATIENCE).await;
+        all.unwrap_or_else(|e| panic!("{e}"));
+    }
+
+    /// Time until `nodes` have everything up to `revision`.
+    async fn in_force<'a>(
+        &self,
+        nodes: impl IntoIterator<Item = &'a Node>,
+        revision: u64,
+        limit: Duration,
+    ) -> Result<Duration, String> {
+        let nodes: Vec<&Node> = nodes.into_iter().collect();
+        let lagging = || {
+            let behind = nodes.iter().filter(|n| n.view().complete < revision);
+            behind.map(|n| n.vm()).collect::<Vec<_>>()
+        };
+        let all = harness::wait_until("in force", limit, async || lagging().is_empty());
+        all.await
+            .map_err(|e| format!("revision {revision}: {e}, lagging {:?}", lagging()))
+    }
+
+    fn of<'a>(&'a self, data_center: &'a str) -> impl Iterator<Item = &'a Node> {
+        self.nodes
+            .iter()
+            .filter(move |n| n.settings.data_center == data_center)
+    }
+
+    fn coordinator(&self, data_center: &str) -> Option<&Node> {
+        let holder = self.lease(data_center).spec.holder;
+        self.nodes.iter().find(|n| n.vm() == holder)
+    }
+
+    fn lease(&self, data_center: &str) -> Object<lease::Lease> {
+        let store = self.platform.store();
+        Object::from_raw(store.get(Kind::Lease, data_center).unwrap()).unwrap()
+    }
+
+    fn check_no_reverts(&self) {
+        let found = self.violations.lock();
+        assert!(found.is_empty(), "{found:?}");
+    }
+}
+
+/// Records every step back of a node's configuration.
+async fn watch_for_reverts(
+    vm: String,
+    mut views: tokio::sync::watch::Receiver<Arc<View>>,
+    violations: Arc<Mutex<Vec<String>>>,
+) {
+    let mut before = views.borrow_and_update().clone();
+    while views.changed().await.is_ok() {
+        let now = views.borrow_and_update().clone();
+        if now.complete < before.complete {
+            let text = format!("{vm}: {} after {}", now.complete, before.complete);
+            violations.lock().push(text);
+        }
+        for new in &now.drains {
+            let old = config::find(&before.drains, &new.metadata.name);
+            // An object that was absent may only come back by a newer write.
+            let least = old.map_or(before.complete + 1, |o| o.metadata.revision);
+            if new.metadata.revision < least && before.complete > 0 {
+                let name = &new.metadata.name;
+                violations.lock().push(format!("{vm}: {name} went back"));
+            }
+        }
+        before = now;
+    }
+}
+
+fn drain(name: &str, reason: &str) -> Raw {
+    let reason = reason.to_owned();
+    Object::new(name, drain::Drain { reason }).to_raw().unwrap()
+}
+
+/// Writes again until the platform has accepted the object.
+async fn accepted(client: &Client, mut object: Raw) -> Raw {
+    let give_up = Instant::now() + PATIENCE;
+    loop {
+        match client.put(object.clone()).await {
+            Ok(written) => return written,
+            Err(Error::Conflict { current }) => {
+                object.metadata.revision = current.map_or(0, |c| c.metadata.revision);
+            }
+            Err(e) => assert!(Instant::now() < give_up, "{e}"),
+        }
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against changes that are late or lost while processes are replaced
+/// and the answers of writes are lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn change_is_in_force_in_time_while_processes_are_replaced() {
+    let mut fleet = Fleet::start(0).await;
+    fleet.platform.set_faults(Faults {
+        lost_share: 0.3,
+        delay_ms: 5,
+        seed: 1,
+        ..Faults::default()
+    });
+    for round in 0..4_u8 {
+        // An entry and an agent of each data centre, once the coordinator itself.
+        for (host, center) in [(1 + 2 * round, "cb-a"), (2 + 2 * round, "cb-a")] {
+            let (old, new) = (host % 6 + 1, 20 + host);
+            if fleet.nodes.iter().any(|n| n.ip() == fleet.subnet.ip(old)) {
+                let service = if old % 2 == 0 { "llm" } else { "" };
+                fleet.kill(old);
+                fleet.platform.force_delete(Kind::Vm, &format!("vm-{old}"));
+                let place = fleet.place(new, center);
+                fleet.list(&place, service);
+                let peers = [fleet.subnet.address(7, CONTROL_PORT)];
+                fleet.add(&place, service, &peers);
+            }
+        }
+        let written = accepted(&fleet.client, drain("nobody", &round.to_string())).await;
+        let revision = written.metadata.revision;
+        let time = fleet.in_force(&fleet.nodes, revision, BOUND).await;
+        time.unwrap_or_else(|e| panic!("round {round}: {e}"));
+    }
+    fleet.check_no_reverts();
+}
+
+/// Guards against a data centre that loses its configuration when all its
+/// entries are replaced while the platform is down, or that does not take up
+/// changes after the outage.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_entries_replaced_during_an_outage() {
+    let mut fleet = Fleet::start(1).await;
+    let written = accepted(&fleet.client, drain("nobody", "before")).await;
+    let revision = written.metadata.revision;
+    fleet.in_force(&fleet.nodes, revision, BOUND).await.unwrap();
+    fleet.platform.set_faults(Faults {
+        outage: true,
+        ..Faults::default()
+    });
+    for host in [1, 3, 5] {
+        fleet.kill(host);
+    }
+    let peers = [2, 4, 6].map(|host| fleet.subnet.address(host, CONTROL_PORT));
+    let places = [31, 33, 35].map(|host| fleet.place(host, "cb-a"));
+    for place in &places {
+        fleet.add(place, "", &peers);
+    }
+    // Agents keep the configuration and hand it over.
+    fleet
+        .in_force(&fleet.nodes, revision, PATIENCE)
+        .await
+        .unwrap();
+    let stranger = fleet.place(40, "cb-a");
+    fleet.add(&stranger, "", &[fleet.subnet.address(99, CONTROL_PORT)]);
+    // One of the new entries takes over the soft duties, as agents learn.
+    let agents_know = async || {
+        let new = |vm: &str| places.iter().any(|p| p.vm == vm);
+        let agents = fleet.of("cb-a").filter(|n| n.settings.target.is_some());
+        agents.into_iter().all(|n| {
+            let known = n.board.coordinator.borrow();
+            known.as_ref().is_some_and(|c| new(&c.vm))
+        })
+    };
+    harness::wait_until("soft coordinator", PATIENCE, agents_know)
+        .await
+        .unwrap();
+    // A process that reaches neither peers nor platform is not ready.
+    assert_eq!(fleet.nodes.last().unwrap().view().complete, 0);
+    fleet.kill(40);
+    fleet.platform.set_faults(Faults::default());
+    for (old, place) in [1, 3, 5].into_iter().zip(&places) {
+        fleet.platform.force_delete(Kind::Vm, &format!("vm-{old}"));
+        fleet.list(place, "");
+    }
+    let written = accepted(&fleet.client, drain("nobody", "after")).await;
+    let after = written.metadata.revision;
+    fleet.in_force(&fleet.nodes, after, BOUND).await.unwrap();
+    fleet.check_no_reverts();
+}
+
+/// Guards against a partitioned data centre that reverts, or that does not
+/// catch up within the bound once the partition ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn partitioned_data_center_catches_up() {
+    let fleet = Fleet::start(2).await;
+    let inside: Vec<_> = fleet.of("ne-a").map(Node::ip).collect();
+    let outside: Vec<_> = fleet.of("cb-a").map(Node::ip).collect();
+    fleet.net.isolate(&inside, 1);
+    fleet.net.isolate(&outside, 2);
+    fleet.platform.set_faults(Faults {
+        cut: inside,
+        ..Faults::default()
+    });
+    let written = accepted(&fleet.client, drain("nobody", "during")).await;
+    let revision = written.metadata.revision;
+    let reachable = fleet.in_force(fleet.of("cb-a"), revision, BOUND).await;
+    reachable.unwrap();
+    time::sleep(Duration::from_secs(3)).await;
+    assert!(fleet.of("ne-a").all(|n| n.view().complete < revision));
+    // Contact with the other data centre alone suffices: the platform stays cut.
+    fleet.net.heal();
+    fleet.in_force(&fleet.nodes, revision, BOUND).await.unwrap();
+    fleet.check_no_reverts();
+}
+
+/// Guards against a coordinator that was paused, and on resuming writes under
+/// its old epoch or takes the configuration back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn paused_coordinator_does_no_harm() {
+    let fleet = Fleet::start(3).await;
+    let old = fleet.coordinator("cb-a").unwrap();
+    let epoch = fleet.lease("cb-a").spec.epoch;
+    let pause = Duration::from_secs(8);
+    let resumes = Instant::now() + pause;
+    old.pause(pause);
+    let replaced = async || fleet.lease("cb-a").spec.epoch > epoch;
+    harness::wait_until("takeover", BOUND, replaced)
+        .await
+        .unwrap();
+    let written = accepted(&fleet.client, drain("nobody", "meanwhile")).await;
+    let revision = written.metadata.revision;
+    let others = fleet.nodes.iter().filter(|n| n.vm() != old.vm());
+    fleet.in_force(others, revision, BOUND).await.unwrap();
+    time::sleep_until(resumes).await;
+    fleet.in_force(&fleet.nodes, revision, BOUND).await.unwrap();
+    let resigned = async || !old.is_coordinator();
+    harness::wait_until("old one steps down", BOUND, resigned)
+        .await
+        .unwrap();
+    time::sleep(Duration::from_secs(2)).await;
+    let mut newest = 0;
+    for event in fleet.platform.events() {
+        let written = match event.object.kind {
+            Kind::Lease => Object::<lease::Lease>::from_raw(&event.object)
+                .ok()
+                .filter(|l| l.metadata.name == "cb-a")
+                .map(|l| l.spec.epoch),
+            Kind::Status => Object::<status::Status>::from_raw(&event.object)
+                .ok()
+                .filter(|s| s.spec.data_center == "cb-a")
+                .map(|s| s.spec.epoch),
+            _ => None,
+        };
+        let written = written.unwrap_or(newest);
+        assert!(written >= newest, "epoch {written} after {newest}");
+        newest = written;
+    }
+    assert_ne!(fleet.lease("cb-a").spec.holder, old.vm());
+    fleet.check_no_reverts();
+}
+
+/// Guards against a configuration above the limit of a gRPC message that no
+/// new process can receive.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_process_receives_a_large_configuration() {
+    let mut fleet = Fleet::start(4).await;
+    let large = "x".repeat(900_000);
+    for n in 0..8 {
+        accepted(&fleet.client, drain(&format!("large-{n}"), &large)).await;
+    }
+    let revision = fleet.platform.revision();
+    fleet
+        .in_force(&fleet.nodes, revision, PATIENCE)
+        .await
+        .unwrap();
+    let place = fleet.place(50, "cb-a");
+    fleet.add(&place, "llm", &[fleet.subnet.address(2, CONTROL_PORT)]);
+    fleet
+        .in_force(fleet.nodes.last(), revision, PATIENCE)
+        .await
+        .unwrap();
+    assert_eq!(fleet.nodes.last().unwrap().view().drains.len(), 8);
+    fleet.check_no_reverts();
+}
+
+/// Guards against `apply --wait` that never ends, or ends before the revision
+/// is in force.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn status_reports_the_revision_in_force() {
+    let mut fleet = Fleet::start(5).await;
+    fleet.kill(2);
+    let written = accepted(&fleet.client, drain("nobody", "now")).await;
+    let revision = written.metadata.revision;
+    let reported = async || {
+        let store = fleet.platform.store();
+        ["cb-a", "ne-a"].iter().all(|center| {
+            let name = status::Status::object_name("", center);
+            let raw = store.get(Kind::Status, &name);
+            let found = raw.and_then(|o| Object::<status::Status>::from_raw(o).ok());
+            let lagging: &[&str] = if *center == "cb-a" { &["vm-2"] } else { &[] };
+            found.is_some_and(|s| s.spec.complete >= revision && s.spec.lagging == lagging)
+        })
+    };
+    harness::wait_until("status", PATIENCE, reported)
+        .await
+        .unwrap();
+    assert!(fleet.nodes.iter().all(|n| n.view().complete >= revision));
+}
