Report a replaced write with a lost answer as uncertain

Racing operators with lost answers are now checked for linearizability over conditional writes. The check failed at once: after a lost answer the client found another writer's operation id at a newer revision and reported a conflict, although its own write had taken effect and had then been replaced.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -248,7 +248,8 @@
     }
 
     /// Gives the write an operation id. After a lost answer the object is read
-    /// back: the write took effect if it carries the id.
+    /// back: the write took effect if it carries the id. Another id proves
+    /// nothing, since the write may have taken effect and been replaced.
     async fn put(&self, mut object: Raw) -> Result<Raw, Error> {
         resource::check_name(&object.metadata.name).map_err(|e| Error::Refused {
             status: StatusCode::BAD_REQUEST.as_u16(),
@@ -267,11 +268,6 @@
         };
         match self.get(object.kind, &object.metadata.name).await {
             Ok(Some(o)) if o.metadata.operation == object.metadata.operation => Ok(o),
-            // Another write came first, so the condition of ours can no longer hold.
-            Ok(Some(o)) if o.metadata.revision > object.metadata.revision => ConflictSnafu {
-                current: Some(Box::new(o)),
-            }
-            .fail(),
             _ => UncertainSnafu { reason }.fail(),
         }
     }
--- a/standins/tests/control_plane.rs
+++ b/standins/tests/control_plane.rs
@@ -15,6 +15,7 @@
 use standins::nodes::{Node, net::Net};
 use standins::platform::faults::Faults;
 use standins::platform::{self, Handle};
+use todc_utils::{Action, History, Specification, WGLChecker};
 use tokio::net::TcpListener;
 use tokio::time::{self, Instant};
 
@@ -388,3 +389,130 @@
         .unwrap();
     assert!(fleet.nodes.iter().all(|n| n.view().complete >= revision));
 }
+
+/// One object under conditional writes; the state is its revision.
+struct ConditionalRegister;
+
+#[derive(Clone, Debug)]
+enum Operation {
+    /// Write on condition of a revision, with the revision written.
+    Written { expected: u64, revision: u64 },
+    /// Refused write, with the revision found instead.
+    Refused { expected: u64, found: u64 },
+}
+
+impl Specification for ConditionalRegister {
+    type State = u64;
+    type Operation = Operation;
+
+    fn init() -> u64 {
+        0
+    }
+
+    fn apply(operation: &Operation, state: &u64) -> (bool, u64) {
+        match *operation {
+            Operation::Written { expected, revision } => (*state == expected, revision),
+            Operation::Refused { expected, found } => {
+                (*state == found && found != expected, *state)
+            }
+        }
+    }
+}
+
+type Actions = Arc<Mutex<Vec<(usize, Action<Operation>)>>>;
+
+/// What became of a write whose answer was lost, from the platform's own events.
+fn resolve(platform: &Handle, expected: u64, text: &str) -> Operation {
+    let events = platform.events();
+    let effect = events.iter().find(|e| e.object.spec["reason"] == text);
+    let current = platform.store();
+    let found = current.get(Kind::Drain, "shared");
+    match effect {
+        Some(e) => Operation::Written {
+            expected,
+            revision: e.object.metadata.revision,
+        },
+        None => Operation::Refused {
+            expected,
+            found: found.map_or(0, |o| o.metadata.revision),
+        },
+    }
+}
+
+/// Writes one object `count` times, always over the newest form it knows.
+async fn operate(process: usize, count: usize, client: Client, platform: Handle, actions: Actions) {
+    let mut known = 0;
+    for n in 0..count {
+        let text = format!("{process}-{n}");
+        let mut object = drain("shared", &text);
+        object.metadata.revision = known;
+        let place = {
+            let mut actions = actions.lock();
+            let (expected, revision) = (known, 0);
+            let call = Operation::Written { expected, revision };
+            actions.push((process, Action::Call(call)));
+            actions.len() - 1
+        };
+        let operation = match client.put(object).await {
+            Ok(written) => Operation::Written {
+                expected: known,
+                revision: written.metadata.revision,
+            },
+            Err(Error::Conflict { current }) => Operation::Refused {
+                expected: known,
+                found: current.map_or(0, |c| c.metadata.revision),
+            },
+            Err(Error::Uncertain { .. }) => resolve(&platform, known, &text),
+            Err(e) => panic!("{e}"),
+        };
+        known = match operation {
+            Operation::Written { revision, .. } => revision,
+            Operation::Refused { found, .. } => found,
+        };
+        let mut actions = actions.lock();
+        actions[place].1 = Action::Call(operation.clone());
+        actions.push((process, Action::Response(operation)));
+    }
+}
+
+/// Guards against an operator's change that is silently overwritten, or
+/// reported as refused although it took effect.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn racing_operators_see_each_other() {
+    let fleet = Fleet::start(6).await;
+    fleet.platform.set_faults(Faults {
+        lost_share: 0.3,
+        delay_ms: 2,
+        seed: 7,
+        ..Faults::default()
+    });
+    let actions = Actions::default();
+    let operators: Vec<_> = (0..3)
+        .map(|n| {
+            tokio::spawn(operate(
+                n,
+                40,
+                Client::new(fleet.address, None),
+                fleet.platform.clone(),
+                actions.clone(),
+            ))
+        })
+        .collect();
+    for operator in operators {
+        operator.await.unwrap();
+    }
+    let recorded = actions.lock().clone();
+    let refused = |a: &Action<Operation>| matches!(a, Action::Response(Operation::Refused { .. }));
+    assert!(recorded.iter().any(|(_, a)| refused(a)));
+    let history = History::from_actions(recorded);
+    assert!(WGLChecker::<ConditionalRegister>::is_linearizable(history));
+    let last = fleet
+        .platform
+        .store()
+        .get(Kind::Drain, "shared")
+        .unwrap()
+        .metadata
+        .revision;
+    fleet.in_force(&fleet.nodes, last, BOUND).await.unwrap();
+    fleet.check_no_reverts();
+}
