--- a/standins/src/args.rs
+++ b/standins/src/args.rs
@@ -5,7 +5,7 @@
 use clap::{Arg, Command, value_parser};
 
 /// Stand-ins and tools with a line about each; every one reads a TOML file.
-pub const TOOLS: [(&str, &str); 7] = [
+pub const TOOLS: [(&str, &str); 8] = [
     (
         "platform",
         "object API of the platform with outages, delays and lost answers",
@@ -22,6 +22,10 @@
         "experiment",
         "rollouts at several sizes, with tables and plots",
     ),
+    (
+        "capacity",
+        "processor time, memory and platform calls at several sizes, with slopes",
+    ),
 ];
 
 /// The command with all its subcommands.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod args;
 pub mod caller;
+pub mod capacity;
 pub mod content;
 pub mod engine;
 pub mod experiment;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -3,7 +3,9 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use standins::{args, engine, experiment, load, origin, platform, relay, service, toolkit};
+use standins::{
+    args, capacity, engine, experiment, load, origin, platform, relay, service, toolkit,
+};
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -30,6 +32,7 @@
         "engine" => engine::run(toolkit::load(file)?).await,
         "service" => service::run(toolkit::load(file)?).await,
         "relay" => relay::run(toolkit::load(file)?).await,
+        "capacity" => capacity::run(toolkit::load(file)?).await,
         "load" => load::run(toolkit::load(file)?).await,
         _ => experiment::run(toolkit::load(file)?).await,
     }
