--- a/src/weights.rs
+++ b/src/weights.rs
@@ -119,7 +119,7 @@
         staging,
         pacer: pacer.clone(),
         slots: Arc::new(Semaphore::new(settings.upload_slots)),
-        queue: settings.upload_slots,
+        queue: settings.upload_slots * serve::QUEUED_PER_SLOT,
         waiting: AtomicUsize::new(0),
         stall,
         stop: ctx.stop.clone(),
--- a/src/weights/serve.rs
+++ b/src/weights/serve.rs
@@ -23,6 +23,8 @@
 
 /// Bytes of one message of a chunk.
 const PART: usize = 16 * 1024;
+/// Callers per upload slot that may wait for one.
+pub const QUEUED_PER_SLOT: usize = 2;
 /// Interval of updates without news, which show that the agent is alive.
 pub const HEARTBEAT: Duration = Duration::from_secs(1);
 /// News within this time are sent together.
--- a/standins/src/experiment.rs
+++ b/standins/src/experiment.rs
@@ -55,6 +55,12 @@
     /// One-way delay between regions, milliseconds.
     #[serde(default)]
     pub delay_ms: u64,
+    /// Chunks that an agent uploads at the same time.
+    #[serde(default = "default_uploads")]
+    pub upload_slots: usize,
+    /// Chunks that an agent downloads at the same time.
+    #[serde(default = "default_downloads")]
+    pub download_slots: usize,
     /// Share of agents that die when the first agent has a third of the chunks.
     #[serde(default)]
     pub deaths: f64,
@@ -66,6 +72,14 @@
     pub limit_s: u64,
 }
 
+const fn default_uploads() -> usize {
+    2
+}
+
+const fn default_downloads() -> usize {
+    4
+}
+
 /// How weights are distributed.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "kebab-case")]
@@ -195,7 +209,8 @@
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let weights = settings::Weights {
             upload_rate: vm as u64,
-            upload_slots: 2,
+            upload_slots: self.upload_slots,
+            download_slots: self.download_slots,
             ..settings::Weights::default()
         };
         fleet::Settings {
