--- a/standins/tests/weights.rs
+++ b/standins/tests/weights.rs
@@ -5,14 +5,19 @@
 
 use std::time::{Duration, Instant};
 
+use corianderramp::control::pb;
 use corianderramp::resource::{Object, model};
 use corianderramp::{digest, settings};
 use standins::content::Content;
 use standins::fleet::{Fleet, Links, Settings};
 use standins::harness::Subnet;
 use standins::relay::{Mode, Rule};
-use standins::{engine, origin};
+use standins::{engine, origin, toolkit};
+use tokio::sync::mpsc;
 use tokio::time;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::service::Routes;
+use tonic::{Request, Response, Status};
 
 /// Limit of waits: generous, since verdicts must not depend on a busy machine.
 const LIMIT: Duration = Duration::from_secs(90);
@@ -181,6 +186,62 @@
     assert_intact(&fleet);
 }
 
+/// Peer that claims to have every chunk and never sends any. Its connection
+/// answers pings, so only a deadline for progress can tell.
+struct Silent;
+
+#[tonic::async_trait]
+impl pb::weights_server::Weights for Silent {
+    type HaveStream = ReceiverStream<Result<pb::HaveUpdate, Status>>;
+    type FetchStream = ReceiverStream<Result<pb::ChunkPart, Status>>;
+
+    async fn have(
+        &self,
+        _: Request<pb::HaveRequest>,
+    ) -> Result<Response<Self::HaveStream>, Status> {
+        let (sender, receiver) = mpsc::channel(1);
+        tokio::spawn(async move {
+            let chunks: Vec<u32> = (0..24).collect();
+            while sender
+                .send(Ok(pb::HaveUpdate {
+                    chunks: chunks.clone(),
+                }))
+                .await
+                .is_ok()
+            {
+                time::sleep(Duration::from_millis(500)).await;
+            }
+        });
+        Ok(Response::new(ReceiverStream::new(receiver)))
+    }
+
+    async fn fetch(
+        &self,
+        _: Request<pb::FetchRequest>,
+    ) -> Result<Response<Self::FetchStream>, Status> {
+        std::future::pending().await
+    }
+}
+
+/// Guards against waiting for a peer that is alive and sends nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_peer_is_left_for_another_source() {
+    let v1 = content("v1", 1);
+    let manifest = v1.manifest();
+    let mut fleet = Fleet::start(&settings(10, &[2], &[v1])).await.unwrap();
+    let address = Subnet::new(10).address(200, 7000);
+    let routes = Routes::new(pb::weights_server::WeightsServer::new(Silent));
+    let listener = toolkit::bind(address).await.unwrap();
+    let stop = tokio_util::sync::CancellationToken::new();
+    tokio::spawn(corianderramp::control::serve(listener, routes, stop));
+    let mut listed = (*fleet.view.vms[0]).clone();
+    listed.metadata.name = "vm-000".into();
+    listed.spec.control = address;
+    fleet.view.vms.insert(0, std::sync::Arc::new(listed));
+    let generation = fleet.declare(&manifest);
+    wait_live(&fleet, generation).await;
+}
+
 /// Guards against trusting an answer of the origin that is short, silent,
 /// wrong or refused.
 #[tokio::test(flavor = "multi_thread")]
