--- a/standins/src/experiment/baseline.rs
+++ b/standins/src/experiment/baseline.rs
@@ -1,6 +1,5 @@
 //! Star and chain: plain distribution of weights over the same stand-ins.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -49,9 +48,10 @@
     let mut vms = JoinSet::new();
     let mut order: VecDeque<SocketAddr> =
         (0..fleet.agents.len()).map(|i| fleet.control(i)).collect();
-    for agent in &fleet.agents {
+    for (index, agent) in fleet.agents.iter().enumerate() {
         let origin = agent.settings.origin.as_ref().map(|o| o.address);
-        let source = order.pop_front().filter(|_| chain && !vms.is_empty());
+        let before = index.checked_sub(1).filter(|_| chain);
+        let source = before.map(|i| fleet.control(i));
         let shelf = Arc::new(Shelf::new(manifest.chunks.clone()));
         let listener = toolkit::bind(agent.place.address(CONTROL_PORT)).await?;
         let shared = shelf.clone();
