Use a switch permit for one order only

The permit was kept until the generation changed, so that after a failed load or a load behind the agent's back a target could leave service while the coordinator counted others.

--- a/src/agent/switch.rs
+++ b/src/agent/switch.rs
@@ -45,7 +45,7 @@
     let (reports, reported) = watch::channel(pb::AgentProgress::default());
     let (permits, permit) = watch::channel(None);
     let engine = Engine::new(target.address, ctx.settings.bind);
-    tokio::spawn(report::run(ctx.clone(), reported, permits));
+    tokio::spawn(report::run(ctx.clone(), reported, permits.clone()));
     let switch = Switch {
         ctx: ctx.clone(),
         clock,
@@ -54,6 +54,7 @@
         progress: weights.progress(),
         reports,
         permit,
+        permits,
         memory: Memory::default(),
     };
     let stop = ctx.stop.clone();
@@ -89,6 +90,7 @@
     progress: watch::Receiver<weights::Progress>,
     reports: watch::Sender<pb::AgentProgress>,
     permit: watch::Receiver<Option<u64>>,
+    permits: watch::Sender<Option<u64>>,
     memory: Memory,
 }
 
@@ -244,6 +246,8 @@
 
     /// Notes the end of an order.
     fn loaded(&mut self, outcome: Outcome) {
+        // A permit is for one order: the next one may find other targets out of service.
+        self.permits.send_replace(None);
         let memory = &mut self.memory;
         let loaded = memory.loading.take();
         match outcome {
--- a/standins/src/experiment/baseline.rs
+++ b/standins/src/experiment/baseline.rs
@@ -46,8 +46,6 @@
     let begin = Instant::now();
     let mut servers = JoinSet::new();
     let mut vms = JoinSet::new();
-    let mut order: VecDeque<SocketAddr> =
-        (0..fleet.agents.len()).map(|i| fleet.control(i)).collect();
     for (index, agent) in fleet.agents.iter().enumerate() {
         let origin = agent.settings.origin.as_ref().map(|o| o.address);
         let before = index.checked_sub(1).filter(|_| chain);
