--- a/standins/src/experiment.rs
+++ b/standins/src/experiment.rs
@@ -137,11 +137,13 @@
         what: &settings.output,
     })?;
     let mut runs = Vec::new();
+    let mut number = 0;
     print(HEADER);
     for method in &settings.methods {
         for agents in &settings.agents {
             for seed in &settings.seeds {
-                let run = measure(&settings, *method, *agents, *seed).await?;
+                let run = measure(&settings, *method, *agents, *seed, number).await?;
+                number = number.wrapping_add(1);
                 print(&row(&run));
                 runs.push(run);
             }
@@ -199,7 +201,9 @@
         }
     }
 
-    fn fleet(&self, agents: u8, seed: u64) -> fleet::Settings {
+    /// Fleet of run number `number`; each has its own subnet, since the last
+    /// one's connections take a moment to close.
+    fn fleet(&self, agents: u8, seed: u64, number: u8) -> fleet::Settings {
         let centers = usize::from(self.data_centers.min(agents));
         let mut data_centers = vec![0; centers];
         for index in 0..usize::from(agents) {
@@ -214,7 +218,7 @@
             ..settings::Weights::default()
         };
         fleet::Settings {
-            subnet: Subnet::new(0),
+            subnet: Subnet::new(number),
             data_centers,
             content: vec![self.content(seed)],
             weights,
@@ -243,9 +247,10 @@
     method: Method,
     agents: u8,
     seed: u64,
+    number: u8,
 ) -> Result<Run, toolkit::Error> {
     let limit = Duration::from_secs(settings.limit_s);
-    let fleet_settings = settings.fleet(agents, seed);
+    let fleet_settings = settings.fleet(agents, seed, number);
     let (fleet, times) = match method {
         Method::Agents if settings.processes => {
             processes::roll_out(settings, &fleet_settings, seed, limit).await?
