Let a stopping process take no shard any more

After the handover of a shard, a request forwarded by a peer could make the stopping process take it again, so the successor had to wait for a takeover. Reservations are counted by outcome.

--- a/src/journal.rs
+++ b/src/journal.rs
@@ -2,6 +2,7 @@
 //! recorded, and its receipt answers later copies of the same request.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
@@ -183,10 +184,11 @@
         };
         let limit = left.min(RESERVE_LIMIT);
         let answer = time::timeout(limit, self.router.run(&parcel)).await;
-        let outcome = answer.map_or_else(
+        let outcome: Outcome = answer.map_or_else(
             |_| Outcome::Unavailable("no answer from the journal in time".into()),
             Outcome::from,
         );
+        metrics::counter!("journal_reservations_total", "outcome" => outcome.name()).increment(1);
         // A process that was paused may see the permit long after the deadline,
         // when the intent may be forgotten.
         let late = Instant::now() >= deadline;
@@ -212,10 +214,12 @@
         }
     }
 
-    /// Hands all shards of this process over, for a planned stop. Returns when
-    /// none is owned any more; the caller sets a limit, since it does not
+    /// Hands all shards of this process over, for a planned stop; it takes none
+    /// from then on, and its requests go to other entries. Returns when none is
+    /// owned any more; the caller sets a limit, since it does not
     /// return while the platform is unreachable.
     pub async fn hand_over(&self) {
+        self.router.closed.store(true, Ordering::Relaxed);
         let mut answers = Vec::new();
         for shard in &self.router.shards {
             let (reply, answer) = oneshot::channel();
@@ -291,6 +295,7 @@
         shards: shards.collect(),
         board: ctx.board.clone(),
         pool: ctx.pool.clone(),
+        closed: AtomicBool::new(false),
     });
     let handle = Handle {
         router: router.clone(),
--- a/src/journal/actor.rs
+++ b/src/journal/actor.rs
@@ -94,6 +94,8 @@
     next: Instant,
     pending: Vec<(Waiter, Want)>,
     releases: Vec<oneshot::Sender<()>>,
+    /// Whether the process is stopping and takes no shard any more.
+    closed: bool,
     trying: Want,
     gone: Option<Gone>,
     rejected: Option<Gone>,
@@ -114,6 +116,7 @@
         started: None,
         pending: Vec::new(),
         releases: Vec::new(),
+        closed: false,
         trying: Want::Look,
         gone: None,
         rejected: None,
@@ -216,7 +219,7 @@
         };
         let answer = match (&head.owner, &want) {
             (Some(owner), Want::From(boot)) if *boot == owner.boot => {
-                if self.is_rejected(boot, now.mono) {
+                if self.closed || self.is_rejected(boot, now.mono) {
                     Answer::Unavailable(format!("{}, the owner, can't be reached", owner.vm))
                 } else {
                     return self.pending.push((waiter, want));
@@ -224,6 +227,7 @@
             }
             (Some(owner), _) => Answer::Owner(owner.clone()),
             (None, Want::Look) => Answer::Unowned,
+            (None, _) if self.closed => Answer::Unowned,
             (None, _) => return self.pending.push((waiter, want)),
         };
         let _ = waiter.reply.send(answer);
@@ -236,16 +240,37 @@
 
     fn release(&mut self, reply: oneshot::Sender<()>) {
         let now = self.shared.clock.now();
+        self.closed = true;
         match &mut self.role {
             Role::Owning(own) => {
                 own.releasing = true;
                 own.touch(now);
                 self.releases.push(reply);
             }
+            Role::Following(_) if self.started.is_some() => self.releases.push(reply),
             Role::Following(_) => drop(reply.send(())),
         }
     }
 
+    /// Gives up a shard that was acquired while the process began to stop.
+    fn close(&mut self) {
+        let now = self.shared.clock.now();
+        match &mut self.role {
+            Role::Owning(own) if self.closed => {
+                own.releasing = true;
+                own.touch(now);
+            }
+            Role::Following(_) => self.released(),
+            Role::Owning(_) => {}
+        }
+    }
+
+    fn released(&mut self) {
+        for reply in std::mem::take(&mut self.releases) {
+            let _ = reply.send(());
+        }
+    }
+
     /// Looks for an owner whose VM left the list, so that the resend window
     /// starts without a request.
     fn look(&mut self) {
@@ -313,6 +338,7 @@
         if self.started.is_some() {
             return;
         }
+        let want = if self.closed { Want::Look } else { want };
         let now = self.shared.clock.now();
         self.started = Some(now);
         self.trying = want.clone();
@@ -364,8 +390,13 @@
 
     fn event(&mut self, event: Event) {
         match event {
-            Event::Acquired(Ok(outcome)) => self.acquired(outcome),
-            Event::Acquired(Err(e)) => self.unavailable(&e.to_string()),
+            Event::Acquired(result) => {
+                match result {
+                    Ok(outcome) => self.acquired(outcome),
+                    Err(e) => self.unavailable(&e.to_string()),
+                }
+                self.close();
+            }
             Event::Segment(name, Ok(())) => {
                 if let Role::Owning(own) = &mut self.role {
                     own.sealed(name);
@@ -484,9 +515,7 @@
             since: self.shared.clock.now() + TAKE_PAUSE,
         });
         let role = std::mem::replace(&mut self.role, Role::Following(head));
-        for reply in std::mem::take(&mut self.releases) {
-            let _ = reply.send(());
-        }
+        self.released();
         let Role::Owning(own) = role else {
             return;
         };
--- a/src/journal/route.rs
+++ b/src/journal/route.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
@@ -41,6 +42,8 @@
     pub board: Arc<Blackboard>,
     /// Channels to other processes.
     pub pool: Arc<control::Pool>,
+    /// Whether the process is stopping and takes no shard any more.
+    pub closed: AtomicBool,
 }
 
 /// A request with what other processes need to know about it.
@@ -140,16 +143,24 @@
         Answer::Unavailable(reason)
     }
 
-    /// Other entries, the preferred owner of the operation's shard first;
-    /// empty when this process is the preferred one.
+    /// Entries that the operation's shard prefers to this process, best first;
+    /// all others when this process takes no shard any more.
     fn ranked(&self, id: Id) -> Vec<SocketAddr> {
         let view = self.board.view();
         let count = u16::try_from(self.shards.len()).unwrap_or(u16::MAX);
         let key = journal::head_name(key::shard(id, count));
         let names = membership::entries(&view).map(|v| v.metadata.name.as_str());
         let ranked = rendezvous::rank(key.as_bytes(), names);
-        let others = ranked.into_iter().take_while(|name| *name != self.me.vm);
-        let found = others.filter_map(|name| crate::config::find(&view.vms, name));
+        let closed = self.closed.load(Ordering::Relaxed);
+        let mut others = ranked;
+        match others.iter().position(|name| *name == self.me.vm) {
+            Some(i) if closed => drop(others.remove(i)),
+            Some(i) => others.truncate(i),
+            None => {}
+        }
+        let found = others
+            .into_iter()
+            .filter_map(|name| crate::config::find(&view.vms, name));
         found.map(|vm| vm.spec.control).collect()
     }
 
@@ -229,6 +240,21 @@
     Unavailable(String),
 }
 
+impl Outcome {
+    /// Name in metrics.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Fresh => "fresh",
+            Self::Done(_) => "done",
+            Self::InProgress => "in-progress",
+            Self::Unknown => "unknown",
+            Self::Mismatch => "mismatch",
+            Self::Unavailable(_) => "unavailable",
+        }
+    }
+}
+
 impl From<Answer> for Outcome {
     fn from(answer: Answer) -> Self {
         match answer {
