Test owners lost in an outage, and let faults overlap

With faults one after the other, no run killed an owner during an outage, so two removed mechanisms went unnoticed: the resend window, and the rule that a restarted process owns nothing. Faults now overlap, and two directed tests kill all owners while their memory is not written.

--- a/standins/src/journal/plan.rs
+++ b/standins/src/journal/plan.rs
@@ -101,7 +101,7 @@
             operations: 8,
             think: Duration::from_millis(20),
             faults: faults.to_vec(),
-            interval: Duration::from_millis(100),
+            interval: Duration::from_millis(300),
             pauses: 0.0,
             twice: 0.3,
             service: (0.05, 0.05),
@@ -371,7 +371,8 @@
         }
     }
 
-    async fn send(&self, key: u64, node: Arc<Node>, limit: Duration) -> Outcome {
+    /// Sends one call to a node and records it; `Unknown` after `limit`.
+    pub async fn send(&self, key: u64, node: Arc<Node>, limit: Duration) -> Outcome {
         let begin = self.ledger.tick();
         let call = Call {
             key,
@@ -476,17 +477,25 @@
 async fn disturb(cluster: Arc<Cluster>, plan: Plan, done: Arc<Notify>) -> u64 {
     let mut random = StdRng::seed_from_u64(plan.seed);
     let mut count = 0;
+    // Faults overlap, since some orders need two of them at the same time.
+    let mut running = JoinSet::new();
     loop {
         tokio::select! {
-            () = done.notified() => return count,
+            () = done.notified() => break,
             () = time::sleep(plan.interval) => {}
         }
-        let Some(fault) = plan.faults.choose(&mut random) else {
+        let Some(fault) = plan.faults.choose(&mut random).copied() else {
             continue;
         };
-        cluster.fault(*fault, &mut random).await;
+        let (cluster, seed) = (cluster.clone(), random.random());
+        running.spawn(async move {
+            let mut random = StdRng::seed_from_u64(seed);
+            cluster.fault(fault, &mut random).await;
+        });
         count += 1;
     }
+    running.join_all().await;
+    count
 }
 
 fn phase(plan: &Plan, begin: Duration) -> usize {
--- a/standins/tests/journal.rs
+++ b/standins/tests/journal.rs
@@ -2,9 +2,13 @@
 //! operation runs at most once (I4), what a caller sees as done is what ran,
 //! and what was refused as not run was not run (I3).
 
+use std::future::Future;
+use std::time::{Duration, Instant};
+
 use corianderramp::resource::service::JournalMode;
 use standins::journal::ledger::{Outcome, Record, Step};
-use standins::journal::plan::{self, Fault, Plan, Report};
+use standins::journal::plan::{self, Cluster, Fault, Plan, Report};
+use standins::journal::store::Faults;
 use todc_utils::linearizability::WGLChecker;
 use todc_utils::linearizability::history::{Action, History};
 use todc_utils::specifications::Specification;
@@ -68,13 +72,17 @@
     broken.map(|history| history[0].key).collect()
 }
 
-fn check(plan: &Plan) {
+fn block_on<F: Future>(work: F) -> F::Output {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
         .build()
         .expect("a runtime starts");
-    let report = runtime.block_on(plan::run(plan));
+    runtime.block_on(work)
+}
+
+fn check(plan: &Plan) {
+    let report = block_on(plan::run(plan));
     let total = report.total();
     let summary = format!(
         "seed {} {:?}: served {} refused {} unknown {} doubled {} faults {}",
@@ -195,3 +203,75 @@
         check(&plan);
     }
 }
+
+/// Books until the booking is done, for at most 30 s.
+async fn book(cluster: &Cluster, key: u64) {
+    let start = Instant::now();
+    loop {
+        for node in cluster.nodes() {
+            let outcome = cluster.send(key, node, Duration::from_secs(2)).await;
+            if matches!(outcome, Outcome::Done(_)) {
+                return;
+            }
+        }
+        let waited = start.elapsed();
+        assert!(
+            waited < Duration::from_secs(30),
+            "booking {key} after {waited:?}"
+        );
+    }
+}
+
+/// All owners die in an outage with operations that only their memory knew.
+/// The VMs leave the list, or new processes start on them.
+async fn owners_lost_in_outage(seed: u64, replaced: bool) {
+    let plan = Plan {
+        service: (0.0, 0.0),
+        ..Plan::new(seed, JournalMode::Owner, &[])
+    };
+    let cluster = Cluster::start(&plan).await;
+    for key in 0..8 {
+        book(&cluster, key).await;
+    }
+    cluster.store.set(plan::down());
+    for key in 100..140 {
+        book(&cluster, key).await;
+    }
+    for node in cluster.nodes() {
+        cluster.kill(&node);
+        if replaced {
+            cluster.join(&node.setup.vm).await;
+        } else {
+            cluster.unlist(&node.setup.vm);
+        }
+    }
+    if !replaced {
+        cluster.join("entry-new").await;
+    }
+    cluster.store.set(Faults::default());
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(plan.journal.resend_ms / 2) {
+        for key in 100..140 {
+            let node = cluster.nodes()[0].clone();
+            cluster.send(key, node, Duration::from_millis(50)).await;
+        }
+    }
+    assert_eq!(plan::doubled(&cluster.ledger.records()), 0, "seed {seed}");
+    // Guards against a shard that stays without an owner after the window.
+    for key in 200..208 {
+        book(&cluster, key).await;
+    }
+}
+
+/// Guards against a takeover before callers stopped to resend what a lost
+/// owner ran from memory.
+#[test]
+fn lost_memory_is_not_run_again_by_new_machines() {
+    block_on(owners_lost_in_outage(60, false));
+}
+
+/// Guards against a restarted process that takes itself for the owner.
+#[test]
+fn lost_memory_is_not_run_again_by_restarted_processes() {
+    block_on(owners_lost_in_outage(61, true));
+}
