--- a/src/agent/forward.rs
+++ b/src/agent/forward.rs
@@ -2,7 +2,9 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -11,6 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::blackboard::Blackboard;
+use crate::clock::Clock;
 
 /// Counts a request as in progress until it is dropped.
 #[derive(Debug)]
@@ -35,15 +38,61 @@
     }
 }
 
+/// Keeps the target for one request until it is dropped.
+#[derive(Debug)]
+pub struct Alone {
+    kept: Arc<AtomicBool>,
+}
+
+impl Alone {
+    /// Keeps the target, unless it is kept already.
+    #[must_use]
+    pub fn new(kept: &Arc<AtomicBool>) -> Option<Self> {
+        let taken = kept.swap(true, Ordering::SeqCst);
+        (!taken).then(|| Self { kept: kept.clone() })
+    }
+}
+
+impl Drop for Alone {
+    fn drop(&mut self) {
+        self.kept.store(false, Ordering::SeqCst);
+    }
+}
+
 impl Drop for Active {
     fn drop(&mut self) {
         self.board.active.send_modify(|n| *n = n.saturating_sub(1));
     }
 }
 
+/// Publishes how long an answer took to begin, for the pacing of transfers.
+#[derive(Debug)]
+pub struct Timing<C: Clock> {
+    clock: C,
+    board: Arc<Blackboard>,
+    started: Instant,
+}
+
+impl<C: Clock> Timing<C> {
+    /// Timing of a request that is sent now.
+    #[must_use]
+    pub fn new(clock: &C, board: &Arc<Blackboard>) -> Self {
+        Self {
+            clock: clock.clone(),
+            board: board.clone(),
+            started: clock.now(),
+        }
+    }
+
+    fn first_byte(&self) {
+        let took = self.clock.now().saturating_duration_since(self.started);
+        self.board.latency.send_replace(took);
+    }
+}
+
 /// Body of an answer to an entry.
 #[derive(Debug)]
-pub enum Forwarded {
+pub enum Forwarded<C: Clock> {
     /// Text of the agent itself.
     Own(Full<Bytes>),
     /// Answer of the target; the request counts as in progress until it ends.
@@ -52,12 +101,18 @@
         body: Incoming,
         /// Held until the answer ends.
         _active: Active,
+        /// Held until the answer ends, for a request that runs alone.
+        _alone: Option<Alone>,
         /// Told when the target breaks the answer off.
         broken: Arc<Notify>,
+        /// Used up by the first frame.
+        timing: Option<Timing<C>>,
     },
 }
 
-impl Body for Forwarded {
+impl<C: Clock> Unpin for Forwarded<C> {}
+
+impl<C: Clock> Body for Forwarded<C> {
     type Data = Bytes;
     type Error = hyper::Error;
 
@@ -69,10 +124,17 @@
             Self::Own(full) => Pin::new(full)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
-            Self::Target { body, broken, .. } => {
+            Self::Target {
+                body,
+                broken,
+                timing,
+                ..
+            } => {
                 let frame = ready!(Pin::new(body).poll_frame(cx));
-                if matches!(frame, Some(Err(_))) {
-                    broken.notify_one();
+                match (&frame, timing.take()) {
+                    (Some(Ok(_)), Some(timing)) => timing.first_byte(),
+                    (Some(Err(_)), _) => broken.notify_one(),
+                    _ => {}
                 }
                 Poll::Ready(frame)
             }
