--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod harness;
 pub mod journal;
 pub mod load;
+pub mod nodes;
 pub mod origin;
 pub mod platform;
 pub mod relay;
