--- a/standins/examples/journal.rs
+++ b/standins/examples/journal.rs
@@ -18,7 +18,8 @@
 use corianderramp::resource::journal;
 use corianderramp::resource::service::JournalMode;
 use corianderramp::settings;
-use standins::journal::plan::{self, Cluster, Fault, Plan};
+use standins::journal::cluster::Cluster;
+use standins::journal::plan::{self, Fault, Plan};
 use standins::platform;
 use tokio::net::TcpListener;
 
--- a/standins/src/journal.rs
+++ b/standins/src/journal.rs
@@ -2,6 +2,7 @@
 //! that can be cut and a service that records what it executes. Tests and the
 //! journal experiment run them and record histories.
 
+pub mod cluster;
 pub mod ledger;
 pub mod node;
 pub mod plan;
--- a/standins/tests/journal.rs
+++ b/standins/tests/journal.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use corianderramp::resource::service::JournalMode;
+use standins::journal::cluster::{self, Cluster};
 use standins::journal::ledger::{Outcome, Record, Step};
-use standins::journal::plan::{self, Cluster, Fault, Plan, Report};
+use standins::journal::plan::{self, Fault, Plan, Report};
 use standins::journal::store::Faults;
 use todc_utils::linearizability::WGLChecker;
 use todc_utils::linearizability::history::{Action, History};
@@ -233,7 +234,7 @@
     for key in 0..8 {
         book(&cluster, key).await;
     }
-    cluster.store.set(plan::down());
+    cluster.store.set(cluster::down());
     for key in 100..140 {
         book(&cluster, key).await;
     }
