--- a/src/journal/actor.rs
+++ b/src/journal/actor.rs
@@ -338,7 +338,7 @@
         let revision = own.revision;
         let write = own.prepare(now, retention, offline);
         self.started = Some(now.mono);
-        metrics::counter!("journal_writes_total").increment(1);
+        metrics::counter!("corianderramp_journal_writes_total").increment(1);
         match write {
             Write::Segment { name, sealing } => self.call(async move {
                 let result = store::put_segment(&platform, &name, &sealing.segment()).await;
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -11,7 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use metrics::{Counter, Unit};
+use metrics::Counter;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
@@ -19,16 +19,112 @@
 
 use crate::blackboard::{Blackboard, Phase};
 
-/// Ended requests by service and outcome.
-pub const REQUESTS: &str = "corianderramp_requests_total";
-/// Ended requests since the start of the process.
-const REQUESTS_HELP: &str = "Ended requests by service and outcome";
+/// Type of a metric.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Type {
+    /// Rises until the process restarts.
+    Counter,
+    /// Goes up and down.
+    Gauge,
+    /// Durations in seconds, by bucket.
+    Histogram,
+}
+
+/// A metric that the processes export.
+#[derive(Clone, Copy, Debug)]
+pub struct Metric {
+    /// Name.
+    pub name: &'static str,
+    /// Type.
+    pub kind: Type,
+    /// Labels.
+    pub labels: &'static [&'static str],
+    /// What it measures.
+    pub help: &'static str,
+}
+
+/// Ended requests.
+const REQUESTS: &str = "corianderramp_requests_total";
 /// Phase of the process.
-pub const PHASE: &str = "corianderramp_phase";
+const PHASE: &str = "corianderramp_phase";
 /// Revision up to which the configuration is complete.
-pub const CONFIG_REVISION: &str = "corianderramp_config_revision";
+const CONFIG_REVISION: &str = "corianderramp_config_revision";
 /// Requests in progress at an agent.
-pub const ACTIVE: &str = "corianderramp_requests_active";
+const ACTIVE: &str = "corianderramp_requests_active";
+/// Generation that an agent's engine serves.
+const SERVING: &str = "corianderramp_serving_generation";
+/// Epoch of the coordinator that the process knows.
+const EPOCH: &str = "corianderramp_coordinator_epoch";
+
+/// All metrics. docs/operations/metrics.md says what to do when one moves.
+pub const METRICS: [Metric; 11] = [
+    Metric {
+        name: REQUESTS,
+        kind: Type::Counter,
+        labels: &["service", "outcome"],
+        help: "Ended requests by outcome: good, late, refused, failed or unknown",
+    },
+    Metric {
+        name: "corianderramp_first_byte_seconds",
+        kind: Type::Histogram,
+        labels: &["service"],
+        help: "Time from a request to the first byte of its complete response",
+    },
+    Metric {
+        name: "corianderramp_request_duration_seconds",
+        kind: Type::Histogram,
+        labels: &["service"],
+        help: "Time from a request to the end of its complete response",
+    },
+    Metric {
+        name: "corianderramp_retries_total",
+        kind: Type::Counter,
+        labels: &["service"],
+        help: "Attempts after the first of requests that completed",
+    },
+    Metric {
+        name: "corianderramp_target_deaths_total",
+        kind: Type::Counter,
+        labels: &[],
+        help: "Deaths of targets with requests of this entry in flight",
+    },
+    Metric {
+        name: "corianderramp_journal_writes_total",
+        kind: Type::Counter,
+        labels: &[],
+        help: "Writes of at-most-once journal objects to the platform",
+    },
+    Metric {
+        name: PHASE,
+        kind: Type::Gauge,
+        labels: &[],
+        help: "Phase of the process: 0 starting, 1 ready, 2 draining",
+    },
+    Metric {
+        name: CONFIG_REVISION,
+        kind: Type::Gauge,
+        labels: &[],
+        help: "Revision up to which the configuration is complete",
+    },
+    Metric {
+        name: EPOCH,
+        kind: Type::Gauge,
+        labels: &[],
+        help: "Epoch of the coordinator that the process knows, 0 for none",
+    },
+    Metric {
+        name: ACTIVE,
+        kind: Type::Gauge,
+        labels: &[],
+        help: "Requests in progress at this agent",
+    },
+    Metric {
+        name: SERVING,
+        kind: Type::Gauge,
+        labels: &[],
+        help: "Generation that this agent's engine serves, 0 for none",
+    },
+];
 
 /// Upper bounds of histogram buckets, seconds: the objectives of 39 ms between
 /// tokens and 0.64 s to the first token are bounds themselves.
@@ -59,19 +155,18 @@
 fn install() -> Option<PrometheusHandle> {
     let builder = PrometheusBuilder::new().set_buckets(&BUCKETS);
     let handle = builder.ok()?.install_recorder().ok()?;
-    metrics::describe_counter!(REQUESTS, Unit::Count, REQUESTS_HELP);
-    metrics::describe_gauge!(
-        PHASE,
-        "Phase of the process: 0 starting, 1 ready, 2 draining"
-    );
-    metrics::describe_gauge!(
-        CONFIG_REVISION,
-        "Revision up to which the configuration is complete"
-    );
-    metrics::describe_gauge!(ACTIVE, "Requests in progress at this agent");
+    METRICS.iter().for_each(describe);
     Some(handle)
 }
 
+fn describe(metric: &Metric) {
+    match metric.kind {
+        Type::Counter => metrics::describe_counter!(metric.name, metric.help),
+        Type::Gauge => metrics::describe_gauge!(metric.name, metric.help),
+        Type::Histogram => metrics::describe_histogram!(metric.name, metric.help),
+    }
+}
+
 /// Counter of the requests of `service` that ended with `outcome`.
 pub(crate) fn outcomes(service: &str, outcome: &'static str) -> Counter {
     metrics::counter!(REQUESTS, "service" => service.to_owned(), "outcome" => outcome)
@@ -145,6 +240,10 @@
     metrics::gauge!(PHASE).set(f64::from(*board.phase.borrow() as u8));
     metrics::gauge!(CONFIG_REVISION).set(board.view().complete as f64);
     metrics::gauge!(ACTIVE).set(f64::from(*board.active.borrow()));
+    let generation = board.serving.borrow().as_ref().map_or(0, |s| s.generation);
+    metrics::gauge!(SERVING).set(generation as f64);
+    let epoch = board.coordinator.borrow().as_ref().map_or(0, |c| c.epoch);
+    metrics::gauge!(EPOCH).set(epoch as f64);
     let page = RECORDER.get().and_then(Option::as_ref);
     let page = page.map(PrometheusHandle::render).unwrap_or_default();
     respond(StatusCode::OK, METRICS_TYPE, page.into())
