--- a/src/agent/forward.rs
+++ b/src/agent/forward.rs
@@ -2,8 +2,9 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -12,6 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::blackboard::Blackboard;
+use crate::clock::Clock;
 
 /// Counts a request as in progress until it is dropped.
 #[derive(Debug)]
@@ -34,10 +36,26 @@
     pub fn count(&self) -> u32 {
         *self.board.active.borrow()
     }
+}
+
+/// Keeps the target for one request until it is dropped.
+#[derive(Debug)]
+pub struct Alone {
+    kept: Arc<AtomicBool>,
+}
+
+impl Alone {
+    /// Keeps the target, unless it is kept already.
+    #[must_use]
+    pub fn new(kept: &Arc<AtomicBool>) -> Option<Self> {
+        let taken = kept.swap(true, Ordering::SeqCst);
+        (!taken).then(|| Self { kept: kept.clone() })
+    }
+}
 
-    /// Publishes the time to the first byte of the answer.
-    fn answered(&self, latency: Duration) {
-        self.board.latency.send_replace(latency);
+impl Drop for Alone {
+    fn drop(&mut self) {
+        self.kept.store(false, Ordering::SeqCst);
     }
 }
 
@@ -47,9 +65,34 @@
     }
 }
 
+/// Publishes how long an answer took to begin, for the pacing of transfers.
+#[derive(Debug)]
+pub struct Timing<C: Clock> {
+    clock: C,
+    board: Arc<Blackboard>,
+    started: Instant,
+}
+
+impl<C: Clock> Timing<C> {
+    /// Timing of a request that is sent now.
+    #[must_use]
+    pub fn new(clock: &C, board: &Arc<Blackboard>) -> Self {
+        Self {
+            clock: clock.clone(),
+            board: board.clone(),
+            started: clock.now(),
+        }
+    }
+
+    fn first_byte(&self) {
+        let took = self.clock.now().saturating_duration_since(self.started);
+        self.board.latency.send_replace(took);
+    }
+}
+
 /// Body of an answer to an entry.
 #[derive(Debug)]
-pub enum Forwarded {
+pub enum Forwarded<C: Clock> {
     /// Text of the agent itself.
     Own(Full<Bytes>),
     /// Answer of the target; the request counts as in progress until it ends.
@@ -57,15 +100,19 @@
         /// Frames of the answer, passed on as they are.
         body: Incoming,
         /// Held until the answer ends.
-        active: Active,
-        /// Begin of the request, until the first byte of the answer.
-        begun: Option<Instant>,
+        _active: Active,
+        /// Held until the answer ends, for a request that runs alone.
+        _alone: Option<Alone>,
         /// Told when the target breaks the answer off.
         broken: Arc<Notify>,
+        /// Used up by the first frame.
+        timing: Option<Timing<C>>,
     },
 }
 
-impl Body for Forwarded {
+impl<C: Clock> Unpin for Forwarded<C> {}
+
+impl<C: Clock> Body for Forwarded<C> {
     type Data = Bytes;
     type Error = hyper::Error;
 
@@ -79,16 +126,15 @@
                 .map_err(|never| match never {}),
             Self::Target {
                 body,
-                active,
-                begun,
                 broken,
+                timing,
+                ..
             } => {
                 let frame = ready!(Pin::new(body).poll_frame(cx));
-                if let Some(begun) = begun.take() {
-                    active.answered(begun.elapsed());
-                }
-                if matches!(frame, Some(Err(_))) {
-                    broken.notify_one();
+                match (&frame, timing.take()) {
+                    (Some(Ok(_)), Some(timing)) => timing.first_byte(),
+                    (Some(Err(_)), _) => broken.notify_one(),
+                    _ => {}
                 }
                 Poll::Ready(frame)
             }
