--- a/standins/src/load/generate.rs
+++ b/standins/src/load/generate.rs
@@ -57,8 +57,11 @@
     let end = settings.total();
     let mut planned = Vec::new();
     for (account, one) in settings.accounts.iter().enumerate() {
+        if one.rate <= 0.0 || one.rate.is_nan() {
+            continue;
+        }
         let mut at = Duration::ZERO;
-        while one.rate > 0.0 {
+        loop {
             let gap = -(1.0 - random.random::<f64>()).ln() / one.rate;
             at += Duration::from_secs_f64(gap);
             if at >= end {
