Tell operators why transfers of a rollout stand still

Following docs/operations with a version whose chunks the origin lacks, the rollout stayed at "fetching" and Status gave no reason: only agents' logs had the 404. weights::Progress now carries the last failure of the origin or the engine since a transfer succeeded, and agent::switch reports it, so that `watch` and `get Status` show it. Failures of peers are left out, since other sources make up for them.

`report burn` no longer says that requests are missing from a data centre that simply had none.

--- a/src/agent/switch.rs
+++ b/src/agent/switch.rs
@@ -289,13 +289,15 @@
         };
         let missing = wanted.missing.as_ref();
         let missing = missing.map(|name| format!("the configuration lacks {name}"));
+        let transfers = Some(&progress.reason).filter(|r| !live && !r.is_empty());
+        let failure = transfers.unwrap_or(&self.memory.reason);
         let report = pb::AgentProgress {
             vm: self.ctx.settings.vm.clone(),
             service: self.service.clone(),
             rollout: wanted.rollout.clone(),
             generation: wanted.generation,
             stage: stage.into(),
-            reason: missing.unwrap_or_else(|| self.memory.reason.clone()),
+            reason: missing.unwrap_or_else(|| failure.clone()),
             chunks_have: u32::try_from(progress.have).unwrap_or(u32::MAX),
             chunks_total: u32::try_from(progress.total).unwrap_or(u32::MAX),
             want_permit: decide::needs_permit(facts),
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -17,7 +17,8 @@
 use crate::resource::{Object, burn, service, vm};
 
 /// Minutes without counts after which a data centre is named: the current
-/// minute is never complete, and a new coordinator may take another one.
+/// minute is never complete, and a new coordinator may take another one. A
+/// minute without requests has no object.
 const SILENT_MINUTES: u64 = 3;
 
 /// Report in JSON.
@@ -91,7 +92,7 @@
 fn say_silent(silent: &[String], console: &Console) {
     if !silent.is_empty() {
         console.note(&format!(
-            "no counts for {SILENT_MINUTES} min from {}: requests there are missing below",
+            "no counts for {SILENT_MINUTES} min from {}: no requests ended there, or its coordinator can't write",
             silent.join(", ")
         ));
     }
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -39,6 +39,9 @@
     pub total: usize,
     /// Bytes received from the origin for this generation.
     pub origin_bytes: u64,
+    /// Last failure of the origin or the engine since a transfer succeeded;
+    /// empty for none.
+    pub reason: String,
 }
 
 impl Progress {
--- a/src/weights/swarm.rs
+++ b/src/weights/swarm.rs
@@ -105,6 +105,8 @@
     origin_failures: u32,
     origin_after: Option<Instant>,
     engine_after: Option<Instant>,
+    /// Last failure that other sources can't make up for.
+    reason: String,
 }
 
 /// Runs the controller until the process stops.
@@ -166,6 +168,7 @@
             origin_failures: 0,
             origin_after: None,
             engine_after: None,
+            reason: String::new(),
         }
     }
 
@@ -217,6 +220,7 @@
             model = wanted.model.as_str(), version = wanted.version.as_str();
             "wanted version changed"
         );
+        self.reason.clear();
         self.floor = wanted.generation;
         self.epoch += 1;
         self.advanced = now;
@@ -365,6 +369,7 @@
             have,
             total: places.len(),
             origin_bytes: received - self.origin_base,
+            reason: self.reason.clone(),
         };
         self.outputs.progress.send_if_modified(|old| {
             let changed = *old != progress;
--- a/src/weights/swarm/outcome.rs
+++ b/src/weights/swarm/outcome.rs
@@ -52,6 +52,7 @@
         match &done.result {
             Ok(()) => {
                 self.advanced = now;
+                self.reason.clear();
                 if let Some(index) = peer {
                     self.peers.succeeded(index);
                 } else if moving.download {
@@ -63,12 +64,16 @@
                 match (peer, chunk) {
                     (_, _) if matches!(failure, Failure::Engine { .. }) => {
                         self.engine_after = Some(now + ENGINE_RETRY);
+                        self.reason = failure.to_string();
                     }
                     (Some(index), Some(chunk)) => {
                         self.peers.failed(index, chunk, failure, now);
                         self.reconnect(index, failure);
                     }
-                    _ if moving.peer.is_empty() && moving.download => self.origin_failed(now),
+                    _ if moving.peer.is_empty() && moving.download => {
+                        self.origin_failed(now);
+                        self.reason = format!("origin: {failure}");
+                    }
                     _ => {}
                 }
             }
--- a/standins/tests/weights.rs
+++ b/standins/tests/weights.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use corianderramp::resource::{Object, model};
-use corianderramp::{digest, settings};
+use corianderramp::{digest, settings, weights};
 use standins::content::Content;
 use standins::fleet::{Fleet, Links, Settings};
 use standins::harness::Subnet;
@@ -203,6 +203,26 @@
     assert_intact(&fleet);
 }
 
+/// Guards against a rollout that stands still without telling operators why.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunks_that_the_origin_lacks_are_named_as_the_reason() {
+    let known = content("v1", 1);
+    let settings = settings(14, &[2], std::slice::from_ref(&known));
+    let mut fleet = Fleet::start(&settings).await.unwrap();
+    fleet.coordinate(2).await.unwrap();
+    fleet.declare(&content("v2", 2).manifest());
+    let reason =
+        |p: weights::Progress| p.reason.starts_with("origin: ") && p.reason.contains("404");
+    let told = fleet.wait_all("reason told", LIMIT, |a| a.progress().is_some_and(reason));
+    told.await.unwrap();
+    let generation = fleet.declare(&known.manifest());
+    wait_live(&fleet, generation).await;
+    let silent = fleet.wait_all("reason gone", LIMIT, |a| {
+        a.progress().is_some_and(|p| p.reason.is_empty())
+    });
+    silent.await.unwrap();
+}
+
 /// Guards against rollouts that end at an older generation or go back, and
 /// against fetching chunks again that versions share.
 #[tokio::test(flavor = "multi_thread")]
