--- a/src/agent.rs
+++ b/src/agent.rs
@@ -30,7 +30,7 @@
     weights: &weights::Handle,
 ) -> ReportsServer<reports::Server> {
     switch::start(ctx, clock.clone(), weights);
-    admit(ctx, clock, listener, Some(weights.clone()))
+    serve(ctx, clock, listener)
 }
 
 /// Starts admission and reports without the switch controller: what the engine
@@ -39,20 +39,11 @@
     ctx: &Context,
     clock: C,
     listener: TcpListener,
-) -> ReportsServer<reports::Server> {
-    admit(ctx, clock, listener, None)
-}
-
-fn admit<C: Clock>(
-    ctx: &Context,
-    clock: C,
-    listener: TcpListener,
-    weights: Option<weights::Handle>,
 ) -> ReportsServer<reports::Server> {
     let draining = drain::start(ctx);
     let broken = Arc::new(Notify::new());
     let observed = probe::start(ctx, broken.clone());
-    gate::start(ctx, clock, listener, weights, draining.clone(), broken);
+    gate::start(ctx, clock, listener, draining.clone(), broken);
     ReportsServer::new(reports::Server::new(ctx, draining, observed))
 }
 
--- a/src/agent/forward.rs
+++ b/src/agent/forward.rs
@@ -14,7 +14,6 @@
 
 use crate::blackboard::Blackboard;
 use crate::clock::Clock;
-use crate::weights;
 
 /// Counts a request as in progress until it is dropped.
 #[derive(Debug)]
@@ -66,29 +65,28 @@
     }
 }
 
-/// Tells the pacing of transfers how long an answer took to begin.
+/// Publishes how long an answer took to begin, for the pacing of transfers.
 #[derive(Debug)]
 pub struct Timing<C: Clock> {
     clock: C,
-    weights: weights::Handle,
+    board: Arc<Blackboard>,
     started: Instant,
 }
 
 impl<C: Clock> Timing<C> {
     /// Timing of a request that is sent now.
     #[must_use]
-    pub fn new(clock: &C, weights: &weights::Handle) -> Self {
+    pub fn new(clock: &C, board: &Arc<Blackboard>) -> Self {
         Self {
             clock: clock.clone(),
-            weights: weights.clone(),
+            board: board.clone(),
             started: clock.now(),
         }
     }
 
     fn first_byte(&self) {
-        let now = self.clock.now();
-        let took = now.saturating_duration_since(self.started);
-        self.weights.observe(took, now);
+        let took = self.clock.now().saturating_duration_since(self.started);
+        self.board.latency.send_replace(took);
     }
 }
 
--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -29,7 +29,6 @@
 use crate::daemon::Context;
 use crate::protocol::{self, Reason};
 use crate::resource::service::Backend;
-use crate::weights;
 
 /// Interval of HTTP/2 pings to entries.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
@@ -57,7 +56,6 @@
     ctx: Context,
     clock: C,
     /// Told how long answers take; `None` without transfers.
-    weights: Option<weights::Handle>,
     client: Client,
     target: SocketAddr,
     slots: u32,
@@ -123,7 +121,6 @@
     ctx: &Context,
     clock: C,
     listener: TcpListener,
-    weights: Option<weights::Handle>,
     draining: watch::Receiver<bool>,
     broken: Arc<Notify>,
 ) {
@@ -133,7 +130,6 @@
     let gate = Arc::new(Gate {
         ctx: ctx.clone(),
         clock,
-        weights,
         client: client(),
         target: target.address,
         slots: target.slots,
@@ -248,7 +244,7 @@
         let Some(request) = self.outgoing(request) else {
             return refusal(Reason::Unreachable);
         };
-        let timing = self.weights.as_ref().map(|w| Timing::new(&self.clock, w));
+        let timing = Some(Timing::new(&self.clock, &self.ctx.board));
         let answer = match self.client.request(request).await {
             Ok(answer) => answer,
             Err(e) if e.is_connect() => {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod args;
 pub mod caller;
+pub mod capacity;
 pub mod content;
 pub mod engine;
 pub mod experiment;
@@ -11,6 +12,7 @@
 pub mod harness;
 pub mod journal;
 pub mod load;
+pub mod nodes;
 pub mod origin;
 pub mod platform;
 pub mod relay;
