Follow the platform while coordinating without the lease

With answers of the platform above 0.7 s no entry can hold the lease. A new coordinator then did its soft duties only and did not watch, so changes did not reach a data centre that was cut off from the others. The new test has such a data centre and a platform with 1 s of delay: it fails when only the lease holder follows the platform, and passes now.

--- a/src/coordinator/feed.rs
+++ b/src/coordinator/feed.rs
@@ -1,4 +1,8 @@
-//! Follows the platform's objects while this process holds the lease.
+//! Follows the platform's objects while this process coordinates.
+//!
+//! A coordinator without the lease tries as well: a platform that is too slow
+//! for the lease may still deliver changes, and only one process per data
+//! centre does so.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,7 +40,7 @@
     entries: Vec<Arc<Entry>>,
 }
 
-/// Follows the platform whenever this process holds the lease.
+/// Follows the platform whenever this process is active.
 pub(super) async fn run(
     ctx: daemon::Context,
     platform: platform::Client,
@@ -44,10 +48,10 @@
     mut role: watch::Receiver<Role>,
 ) {
     let work = async {
-        while role.wait_for(|r| r.holder).await.is_ok() {
+        while role.wait_for(|r| r.active).await.is_ok() {
             let mut lost = role.clone();
             tokio::select! {
-                _ = lost.wait_for(|r| !r.holder) => {}
+                _ = lost.wait_for(|r| !r.active) => {}
                 () = follow_again(&platform, &config) => {}
             }
         }
--- a/standins/tests/control_plane.rs
+++ b/standins/tests/control_plane.rs
@@ -342,6 +342,37 @@
     fleet.check_no_reverts();
 }
 
+/// Guards against changes that are lost because the platform answers too slowly
+/// for any entry to hold the lease.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_platform_still_delivers_changes() {
+    let mut fleet = Fleet::start(7).await;
+    fleet.platform.set_faults(Faults {
+        delay_ms: 1000,
+        ..Faults::default()
+    });
+    // The other data centre, whose watch goes on, must not be the one that helps.
+    let outside: Vec<_> = fleet.of("ne-a").map(Node::ip).collect();
+    fleet.net.isolate(&outside, 1);
+    let inside: Vec<_> = fleet.of("cb-a").map(Node::ip).collect();
+    fleet.net.isolate(&inside, 2);
+    let old = fleet.lease("cb-a").spec.holder;
+    let host = fleet.nodes.iter().position(|n| n.vm() == old).unwrap();
+    fleet.nodes.swap_remove(host).kill();
+    let taken_over = async || {
+        let mut entries = fleet.of("cb-a").filter(|n| n.settings.target.is_none());
+        entries.any(Node::is_coordinator)
+    };
+    harness::wait_until("takeover", PATIENCE, taken_over)
+        .await
+        .unwrap();
+    let written = accepted(&fleet.client, drain("nobody", "slow")).await;
+    let revision = written.metadata.revision;
+    // The first call of the new coordinator takes a second by itself.
+    fleet.in_force(&fleet.nodes, revision, BOUND).await.unwrap();
+    fleet.check_no_reverts();
+}
+
 /// Guards against a configuration above the limit of a gRPC message that no
 /// new process can receive.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
