--- a/standins/examples/journal.rs
+++ b/standins/examples/journal.rs
@@ -73,6 +73,8 @@
                 think: Duration::from_millis(100),
                 interval: Duration::from_secs(1),
                 outage: Some((Duration::from_secs(4), Duration::from_secs(6))),
+                // Callers wait for the answer, so that a refusal is seen as one.
+                call: Duration::from_secs(3),
                 service: (0.0, 0.0),
                 ..Plan::new(seed, mode, &faults)
             };
--- a/standins/src/journal/cluster.rs
+++ b/standins/src/journal/cluster.rs
@@ -233,7 +233,7 @@
             for _ in 0..count {
                 let nodes = self.nodes();
                 if let Some(node) = nodes.choose(random) {
-                    calls.push(self.send(key, node.clone(), CALL));
+                    calls.push(self.send(key, node.clone(), self.plan.call));
                 }
             }
             let results = futures_util::future::join_all(calls).await;
@@ -244,7 +244,7 @@
                 time::sleep(Duration::from_millis(random.random_range(0..1_000))).await;
                 let nodes = self.nodes();
                 if let Some(node) = nodes.choose(random) {
-                    outcomes.push(self.send(key, node.clone(), CALL).await);
+                    outcomes.push(self.send(key, node.clone(), self.plan.call).await);
                 }
                 return outcomes;
             }
@@ -275,9 +275,6 @@
 const RESENDS: Duration = Duration::from_millis(1_500);
 /// Deadline of one call.
 const ATTEMPT: Duration = Duration::from_millis(900);
-/// Time after which a caller gives one call up; shorter than the deadline, so
-/// that a copy meets the first one in progress.
-pub const CALL: Duration = Duration::from_millis(500);
 
 /// A platform that does not answer.
 #[must_use]
--- a/standins/src/journal/plan.rs
+++ b/standins/src/journal/plan.rs
@@ -69,6 +69,9 @@
     pub interval: Duration,
     /// Share of pauses at each point of the request path.
     pub pauses: f64,
+    /// Time after which a caller gives one call up. The default is shorter than
+    /// an attempt's deadline, so that a copy meets the first one in progress.
+    pub call: Duration,
     /// Share of operations that a caller sends to two entries at once.
     pub twice: f64,
     /// Shares of requests that the service refuses and whose answer is lost.
@@ -95,6 +98,7 @@
             faults: faults.to_vec(),
             interval: Duration::from_millis(300),
             pauses: 0.0,
+            call: Duration::from_millis(500),
             twice: 0.3,
             service: (0.05, 0.05),
             journal: settings::Journal {
