--- a/src/agent/switch.rs
+++ b/src/agent/switch.rs
@@ -45,7 +45,7 @@
     let (reports, reported) = watch::channel(pb::AgentProgress::default());
     let (permits, permit) = watch::channel(None);
     let engine = Engine::new(target.address, ctx.settings.bind);
-    tokio::spawn(report::run(ctx.clone(), reported, permits));
+    tokio::spawn(report::run(ctx.clone(), reported, permits.clone()));
     let switch = Switch {
         ctx: ctx.clone(),
         clock,
@@ -54,6 +54,7 @@
         progress: weights.progress(),
         reports,
         permit,
+        permits,
         memory: Memory::default(),
     };
     let stop = ctx.stop.clone();
@@ -89,6 +90,7 @@
     progress: watch::Receiver<weights::Progress>,
     reports: watch::Sender<pb::AgentProgress>,
     permit: watch::Receiver<Option<u64>>,
+    permits: watch::Sender<Option<u64>>,
     memory: Memory,
 }
 
@@ -244,6 +246,8 @@
 
     /// Notes the end of an order.
     fn loaded(&mut self, outcome: Outcome) {
+        // A permit is for one order: the next one may find other targets out of service.
+        self.permits.send_replace(None);
         let memory = &mut self.memory;
         let loaded = memory.loading.take();
         match outcome {
@@ -289,13 +293,15 @@
         };
         let missing = wanted.missing.as_ref();
         let missing = missing.map(|name| format!("the configuration lacks {name}"));
+        let transfers = Some(&progress.reason).filter(|r| !live && !r.is_empty());
+        let failure = transfers.unwrap_or(&self.memory.reason);
         let report = pb::AgentProgress {
             vm: self.ctx.settings.vm.clone(),
             service: self.service.clone(),
             rollout: wanted.rollout.clone(),
             generation: wanted.generation,
             stage: stage.into(),
-            reason: missing.unwrap_or_else(|| self.memory.reason.clone()),
+            reason: missing.unwrap_or_else(|| failure.clone()),
             chunks_have: u32::try_from(progress.have).unwrap_or(u32::MAX),
             chunks_total: u32::try_from(progress.total).unwrap_or(u32::MAX),
             want_permit: decide::needs_permit(facts),
