--- a/standins/src/experiment.rs
+++ b/standins/src/experiment.rs
@@ -55,6 +55,12 @@
     /// One-way delay between regions, milliseconds.
     #[serde(default)]
     pub delay_ms: u64,
+    /// Chunks that an agent uploads at the same time.
+    #[serde(default = "default_uploads")]
+    pub upload_slots: usize,
+    /// Chunks that an agent downloads at the same time.
+    #[serde(default = "default_downloads")]
+    pub download_slots: usize,
     /// Share of agents that die when the first agent has a third of the chunks.
     #[serde(default)]
     pub deaths: f64,
@@ -66,6 +72,14 @@
     pub limit_s: u64,
 }
 
+const fn default_uploads() -> usize {
+    2
+}
+
+const fn default_downloads() -> usize {
+    4
+}
+
 /// How weights are distributed.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "kebab-case")]
@@ -123,11 +137,13 @@
         what: &settings.output,
     })?;
     let mut runs = Vec::new();
+    let mut number = 0;
     print(HEADER);
     for method in &settings.methods {
         for agents in &settings.agents {
             for seed in &settings.seeds {
-                let run = measure(&settings, *method, *agents, *seed).await?;
+                let run = measure(&settings, *method, *agents, *seed, number).await?;
+                number = number.wrapping_add(1);
                 print(&row(&run));
                 runs.push(run);
             }
@@ -185,7 +201,9 @@
         }
     }
 
-    fn fleet(&self, agents: u8, seed: u64) -> fleet::Settings {
+    /// Fleet of run number `number`; each has its own subnet, since the last
+    /// one's connections take a moment to close.
+    fn fleet(&self, agents: u8, seed: u64, number: u8) -> fleet::Settings {
         let centers = usize::from(self.data_centers.min(agents));
         let mut data_centers = vec![0; centers];
         for index in 0..usize::from(agents) {
@@ -195,11 +213,12 @@
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let weights = settings::Weights {
             upload_rate: vm as u64,
-            upload_slots: 2,
+            upload_slots: self.upload_slots,
+            download_slots: self.download_slots,
             ..settings::Weights::default()
         };
         fleet::Settings {
-            subnet: Subnet::new(0),
+            subnet: Subnet::new(number),
             data_centers,
             content: vec![self.content(seed)],
             weights,
@@ -228,9 +247,10 @@
     method: Method,
     agents: u8,
     seed: u64,
+    number: u8,
 ) -> Result<Run, toolkit::Error> {
     let limit = Duration::from_secs(settings.limit_s);
-    let fleet_settings = settings.fleet(agents, seed);
+    let fleet_settings = settings.fleet(agents, seed, number);
     let (fleet, times) = match method {
         Method::Agents if settings.processes => {
             processes::roll_out(settings, &fleet_settings, seed, limit).await?
