--- a/src/journal/actor.rs
+++ b/src/journal/actor.rs
@@ -16,6 +16,8 @@
 use crate::resource::{journal, service};
 use crate::settings;
 
+mod events;
+
 /// Time without the platform after which a request is answered as unavailable.
 pub const PATIENCE: Duration = Duration::from_secs(1);
 /// Pause after a failed call to the platform.
@@ -94,6 +96,8 @@
     next: Instant,
     pending: Vec<(Waiter, Want)>,
     releases: Vec<oneshot::Sender<()>>,
+    /// Whether the process is stopping and takes no shard any more.
+    closed: bool,
     trying: Want,
     gone: Option<Gone>,
     rejected: Option<Gone>,
@@ -114,6 +118,7 @@
         started: None,
         pending: Vec::new(),
         releases: Vec::new(),
+        closed: false,
         trying: Want::Look,
         gone: None,
         rejected: None,
@@ -216,7 +221,7 @@
         };
         let answer = match (&head.owner, &want) {
             (Some(owner), Want::From(boot)) if *boot == owner.boot => {
-                if self.is_rejected(boot, now.mono) {
+                if self.closed || self.is_rejected(boot, now.mono) {
                     Answer::Unavailable(format!("{}, the owner, can't be reached", owner.vm))
                 } else {
                     return self.pending.push((waiter, want));
@@ -224,6 +229,7 @@
             }
             (Some(owner), _) => Answer::Owner(owner.clone()),
             (None, Want::Look) => Answer::Unowned,
+            (None, _) if self.closed => Answer::Unowned,
             (None, _) => return self.pending.push((waiter, want)),
         };
         let _ = waiter.reply.send(answer);
@@ -236,16 +242,37 @@
 
     fn release(&mut self, reply: oneshot::Sender<()>) {
         let now = self.shared.clock.now();
+        self.closed = true;
         match &mut self.role {
             Role::Owning(own) => {
                 own.releasing = true;
                 own.touch(now);
                 self.releases.push(reply);
             }
+            Role::Following(_) if self.started.is_some() => self.releases.push(reply),
             Role::Following(_) => drop(reply.send(())),
         }
     }
 
+    /// Gives up a shard that was acquired while the process began to stop.
+    fn close(&mut self) {
+        let now = self.shared.clock.now();
+        match &mut self.role {
+            Role::Owning(own) if self.closed => {
+                own.releasing = true;
+                own.touch(now);
+            }
+            Role::Following(_) => self.released(),
+            Role::Owning(_) => {}
+        }
+    }
+
+    fn released(&mut self) {
+        for reply in std::mem::take(&mut self.releases) {
+            let _ = reply.send(());
+        }
+    }
+
     /// Looks for an owner whose VM left the list, so that the resend window
     /// starts without a request.
     fn look(&mut self) {
@@ -313,6 +340,7 @@
         if self.started.is_some() {
             return;
         }
+        let want = if self.closed { Want::Look } else { want };
         let now = self.shared.clock.now();
         self.started = Some(now);
         self.trying = want.clone();
@@ -338,7 +366,7 @@
         let revision = own.revision;
         let write = own.prepare(now, retention, offline);
         self.started = Some(now.mono);
-        metrics::counter!("journal_writes_total").increment(1);
+        metrics::counter!("corianderramp_journal_writes_total").increment(1);
         match write {
             Write::Segment { name, sealing } => self.call(async move {
                 let result = store::put_segment(&platform, &name, &sealing.segment()).await;
@@ -361,137 +389,4 @@
             let _ = sender.send(Message::Event(Box::new(event)));
         });
     }
-
-    fn event(&mut self, event: Event) {
-        match event {
-            Event::Acquired(Ok(outcome)) => self.acquired(outcome),
-            Event::Acquired(Err(e)) => self.unavailable(&e.to_string()),
-            Event::Segment(name, Ok(())) => {
-                if let Role::Owning(own) = &mut self.role {
-                    own.sealed(name);
-                }
-            }
-            Event::Head(head, Ok(revision)) => self.written(head, revision),
-            Event::Head(_, Err(platform::Error::Conflict { current })) => {
-                self.conflict(current.as_deref());
-            }
-            Event::Head(_, Err(e)) | Event::Segment(_, Err(e)) => self.failed(&e),
-        }
-    }
-
-    fn acquired(&mut self, outcome: Outcome) {
-        let now = self.now();
-        match outcome {
-            Outcome::Acquired {
-                table,
-                head,
-                revision,
-            } => {
-                let operations = table.len();
-                log::info!(shard = self.shard, epoch = head.epoch, operations; "acquired a journal shard");
-                self.gone = None;
-                self.role = Role::Owning(Box::new(Held::new(self.shard, table, head, revision)));
-                for (waiter, want) in std::mem::take(&mut self.pending) {
-                    self.request(waiter, want);
-                }
-            }
-            Outcome::Follow(head) => self.follow(head, None, now.mono),
-            Outcome::Wait { head, rest } => self.follow(head, Some(rest), now.mono),
-        }
-    }
-
-    fn follow(&mut self, head: journal::Head, rest: Option<Duration>, now: Instant) {
-        let boot = head.owner.as_ref().map(|o| o.boot.clone());
-        let boot = boot.unwrap_or_default();
-        match rest {
-            Some(_) if self.gone.as_ref().is_some_and(|g| g.boot == boot) => {}
-            Some(_) => {
-                self.gone = Some(Gone {
-                    boot: boot.clone(),
-                    since: now,
-                });
-            }
-            None => self.gone = None,
-        }
-        if matches!(self.trying, Want::From(_)) {
-            self.rejected = Some(Gone { boot, since: now });
-        }
-        self.role = Role::Following(Some(head));
-        for (waiter, want) in std::mem::take(&mut self.pending) {
-            self.request(waiter, want);
-        }
-    }
-
-    fn unavailable(&mut self, reason: &str) {
-        self.next = self.shared.clock.now() + BACKOFF;
-        for (waiter, _) in std::mem::take(&mut self.pending) {
-            let _ = waiter.reply.send(Answer::Unavailable(reason.to_owned()));
-        }
-    }
-
-    fn written(&mut self, head: journal::Head, revision: u64) {
-        let Role::Owning(own) = &mut self.role else {
-            return;
-        };
-        let released = head.owner.is_none();
-        let garbage = own.written(head.clone(), revision);
-        if !garbage.is_empty() {
-            let platform = self.shared.platform.clone();
-            tokio::spawn(async move { store::delete_segments(&platform, garbage).await });
-        }
-        if released {
-            log::info!(shard = self.shard; "handed a journal shard over");
-            self.lose(Some(head));
-        }
-    }
-
-    fn failed(&mut self, error: &platform::Error) {
-        log::warn!(shard = self.shard, error:%; "a journal write failed");
-        let now = self.shared.clock.now();
-        self.next = now + BACKOFF;
-        if let Role::Owning(own) = &mut self.role {
-            own.failed(now);
-        }
-    }
-
-    /// The head is not at the expected revision. Only the owner writes under
-    /// its epoch, so a head with the own epoch holds an own write whose answer
-    /// was lost, and memory has at least what it has. Otherwise the shard is
-    /// lost, and everything in memory is void.
-    fn conflict(&mut self, current: Option<&crate::resource::Raw>) {
-        let now = self.shared.clock.now();
-        let Role::Owning(own) = &mut self.role else {
-            return;
-        };
-        let stored = store::parse_head(current).ok();
-        let mine = stored
-            .as_ref()
-            .is_some_and(|(head, _)| head.owner == own.head.owner && head.epoch == own.head.epoch);
-        match stored {
-            Some((_, revision)) if mine => own.rebase(revision, now),
-            Some((head, revision)) => {
-                log::warn!(shard = self.shard, epoch = head.epoch; "lost a journal shard");
-                self.lose((revision > 0).then_some(head));
-            }
-            None => self.lose(None),
-        }
-    }
-
-    fn lose(&mut self, head: Option<journal::Head>) {
-        let boot = head.as_ref().and_then(|h| h.owner.as_ref());
-        self.rejected = boot.map(|o| Gone {
-            boot: o.boot.clone(),
-            since: self.shared.clock.now() + TAKE_PAUSE,
-        });
-        let role = std::mem::replace(&mut self.role, Role::Following(head));
-        for reply in std::mem::take(&mut self.releases) {
-            let _ = reply.send(());
-        }
-        let Role::Owning(own) = role else {
-            return;
-        };
-        for waiter in own.into_waiters() {
-            self.request(waiter, Want::Look);
-        }
-    }
 }
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -39,6 +39,9 @@
     pub total: usize,
     /// Bytes received from the origin for this generation.
     pub origin_bytes: u64,
+    /// Last failure of the origin or the engine since a transfer succeeded;
+    /// empty for none.
+    pub reason: String,
 }
 
 impl Progress {
@@ -119,7 +122,7 @@
         staging,
         pacer: pacer.clone(),
         slots: Arc::new(Semaphore::new(settings.upload_slots)),
-        queue: settings.upload_slots,
+        queue: settings.upload_slots * serve::QUEUED_PER_SLOT,
         waiting: AtomicUsize::new(0),
         stall,
         stop: ctx.stop.clone(),
