--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use corianderramp::agent::{self, switch};
+use corianderramp::agent;
 use corianderramp::blackboard::{Blackboard, Phase, Serving};
 use corianderramp::resource::{Object, model, rollout, service};
 use corianderramp::{clock, config, control, daemon, settings, weights};
@@ -370,8 +370,6 @@
             let Ok(runtime) = built else { return };
             runtime.block_on(async move {
                 let (handle, server) = weights::start(&ctx, clock::System);
-                switch::start(&ctx, clock::System, &handle);
-                let _ = ready.send(handle);
                 let listeners = (
                     TcpListener::from_std(control),
                     TcpListener::from_std(requests),
@@ -379,7 +377,8 @@
                 let (Ok(control), Ok(requests)) = listeners else {
                     return;
                 };
-                let reports = agent::serve(&ctx, clock::System, requests);
+                let reports = agent::start(&ctx, clock::System, requests, &handle);
+                let _ = ready.send(handle);
                 let routes = Routes::new(server).add_service(reports);
                 tokio::spawn(control::serve(control, routes, ctx.stop));
                 let _ = ended.await;
