--- a/src/journal.rs
+++ b/src/journal.rs
@@ -188,7 +188,8 @@
             |_| Outcome::Unavailable("no answer from the journal in time".into()),
             Outcome::from,
         );
-        metrics::counter!("journal_reservations_total", "outcome" => outcome.name()).increment(1);
+        metrics::counter!("corianderramp_journal_reservations_total", "outcome" => outcome.name())
+            .increment(1);
         // A process that was paused may see the permit long after the deadline,
         // when the intent may be forgotten.
         let late = Instant::now() >= deadline;
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -57,7 +57,7 @@
 const EPOCH: &str = "corianderramp_coordinator_epoch";
 
 /// All metrics. docs/operations/metrics.md says what to do when one moves.
-pub const METRICS: [Metric; 11] = [
+pub const METRICS: [Metric; 12] = [
     Metric {
         name: REQUESTS,
         kind: Type::Counter,
@@ -94,6 +94,12 @@
         labels: &[],
         help: "Writes of at-most-once journal objects to the platform",
     },
+    Metric {
+        name: "corianderramp_journal_reservations_total",
+        kind: Type::Counter,
+        labels: &["outcome"],
+        help: "Answers to reservations of at-most-once operations at this entry",
+    },
     Metric {
         name: PHASE,
         kind: Type::Gauge,
