--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -98,7 +98,7 @@
         name: "corianderramp_journal_reservations_total",
         kind: Type::Counter,
         labels: &["outcome"],
-        help: "Reservations of at-most-once operations by outcome",
+        help: "Answers to reservations of at-most-once operations at this entry",
     },
     Metric {
         name: PHASE,
