--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -115,7 +115,12 @@
             deaths.judge(ticket).await;
             return Err(Failure::Broken);
         }
-        (Some(Outcome::Unknown), _) => return Err(Failure::Broken),
+        (Some(Outcome::Unknown), _) => {
+            // Every further answer would be unusable too, and use up the budget
+            // of retries, so the target is left out for a while.
+            ticket.unreachable();
+            return Err(Failure::Broken);
+        }
         _ => {}
     }
     match time::timeout_at(until, body.frame()).await {
