Do not wait for leaving targets after all others refused a request

Cause: a request that two targets had refused as not run waited in the queue until half of its deadline, 30 s, when the only target left was a draining one. The queue counted any listed target as one to wait for. Ruled out: the wait of a suspected request for a target of its own, since no such request was sent.

Change: only targets that stay count. The test now gives each operation 10 s, which the old code exceeded.

--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -223,10 +223,12 @@
         limits.sum::<usize>().max(QUEUE_FLOOR)
     }
 
-    /// Whether every target had the request already. Without any target the
-    /// request waits, since targets may be about to appear.
+    /// Whether every target that stays had the request already. Waiting for a
+    /// leaving one would only end with the request's deadline. Without any
+    /// target the request waits, since targets may be about to appear.
     fn exhausted(&self, want: &Want) -> bool {
-        let left = self.targets.keys().any(|k| !want.excluded.contains(&k));
+        let mut stay = self.targets.iter().filter(|(_, t)| !t.is_leaving());
+        let left = stay.any(|(key, _)| !want.excluded.contains(&key));
         !left && !want.excluded.is_empty()
     }
 
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -118,7 +118,13 @@
         let fresh = now.saturating_duration_since(seen.at) < REPORT_LIFETIME;
         let serving = !model || !seen.report.version.is_empty();
         let down = self.down_until.is_some_and(|until| now < until);
-        fresh && serving && !down && !self.leaving && !seen.report.draining
+        fresh && serving && !down && !self.is_leaving()
+    }
+
+    /// Whether the target is about to stop for good.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving || self.seen.as_ref().is_some_and(|s| s.report.draining)
     }
 
     /// Whether one more request fits, apart from those that must run alone.
--- a/standins/tests/path.rs
+++ b/standins/tests/path.rs
@@ -108,7 +108,10 @@
         let address = fleet.rig.entries[i % 2].address();
         let path = format!("/{LEDGER}/book");
         let sent = caller.send(address, Method::POST, &path, headers, body.clone());
-        let outcome = match sent.await {
+        // A request waits up to 30 s for a target, half of its deadline. No
+        // request here has one to wait for that long.
+        let answered = tokio::time::timeout(Duration::from_secs(10), sent).await;
+        let outcome = match answered.expect("an operation waited for a leaving target") {
             Ok(answer) => answer.header("corianderramp-outcome").to_owned(),
             Err(_) => "unknown".into(),
         };
