--- a/standins/src/capacity.rs
+++ b/standins/src/capacity.rs
@@ -59,15 +59,15 @@
 /// Fails when a site does not become ready.
 pub async fn run(settings: Settings) -> Result<(), toolkit::Error> {
     let mut rows = Vec::new();
-    for targets in &settings.targets {
-        rows.push(measure(&settings, *targets).await?);
+    for (index, targets) in (0..).zip(&settings.targets) {
+        rows.push(measure(&settings, *targets, index).await?);
     }
     let mut out = io::stdout();
     out.write_all(render(&rows).as_bytes())
         .context(IoSnafu { what: "stdout" })
 }
 
-async fn measure(settings: &Settings, targets: usize) -> Result<Row, toolkit::Error> {
+async fn measure(settings: &Settings, targets: usize, index: u8) -> Result<Row, toolkit::Error> {
     let entries = targets.div_ceil(settings.per_entry).max(2);
     let layout = Layout {
         data_centers: vec![("cb-a".into(), "central-belt".into())],
@@ -76,7 +76,7 @@
         ledgers: 0,
         ..Layout::default()
     };
-    let site = Site::start(0, &layout).await?;
+    let site = Site::start(index, &layout).await?;
     let expected = entries + targets;
     let known = async || {
         reported(&site)
