--- a/src/agent/forward.rs
+++ b/src/agent/forward.rs
@@ -12,32 +12,9 @@
 use hyper::body::Incoming;
 use tokio::sync::Notify;
 
-use crate::blackboard::Blackboard;
+use crate::blackboard::{Blackboard, InProgress};
 use crate::clock::Clock;
 
-/// Counts a request as in progress until it is dropped.
-#[derive(Debug)]
-pub struct Active {
-    board: Arc<Blackboard>,
-}
-
-impl Active {
-    /// Raises the count of requests in progress.
-    #[must_use]
-    pub fn new(board: &Arc<Blackboard>) -> Self {
-        board.active.send_modify(|n| *n += 1);
-        Self {
-            board: board.clone(),
-        }
-    }
-
-    /// Requests in progress, this one included.
-    #[must_use]
-    pub fn count(&self) -> u32 {
-        *self.board.active.borrow()
-    }
-}
-
 /// Keeps the target for one request until it is dropped.
 #[derive(Debug)]
 pub struct Alone {
@@ -59,12 +36,6 @@
     }
 }
 
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.board.active.send_modify(|n| *n = n.saturating_sub(1));
-    }
-}
-
 /// Publishes how long an answer took to begin, for the pacing of transfers.
 #[derive(Debug)]
 pub struct Timing<C: Clock> {
@@ -100,7 +71,7 @@
         /// Frames of the answer, passed on as they are.
         body: Incoming,
         /// Held until the answer ends.
-        _active: Active,
+        _active: InProgress,
         /// Held until the answer ends, for a request that runs alone.
         _alone: Option<Alone>,
         /// Told when the target breaks the answer off.
--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -23,8 +23,8 @@
 use tokio::sync::{Notify, watch};
 use tokio::time;
 
-use super::forward::{Active, Alone, Forwarded, Timing};
-use crate::blackboard::{Phase, Serving};
+use super::forward::{Alone, Forwarded, Timing};
+use crate::blackboard::{InProgress, Phase, Serving};
 use crate::clock::Clock;
 use crate::daemon::Context;
 use crate::protocol::{self, Reason};
@@ -187,7 +187,7 @@
 
 impl<C: Clock> Gate<C> {
     async fn handle(&self, request: Request<Incoming>) -> Response<Forwarded<C>> {
-        let active = Active::new(&self.ctx.board);
+        let active = InProgress::new(&self.ctx.board);
         let alone = if request.headers().contains_key(protocol::ALONE) {
             match self.reserve(request.headers()).await {
                 Some(alone) => Some(alone),
@@ -219,7 +219,7 @@
         Some(alone)
     }
 
-    fn state(&self, active: &Active, alone: bool) -> State {
+    fn state(&self, active: &InProgress, alone: bool) -> State {
         let view = self.ctx.board.view();
         let service = super::own_service(&self.ctx, &view);
         State {
@@ -236,7 +236,7 @@
     async fn forward(
         &self,
         request: Request<Incoming>,
-        active: Active,
+        active: InProgress,
         alone: Option<Alone>,
         version: Option<String>,
     ) -> Response<Forwarded<C>> {
--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -44,7 +44,7 @@
     /// What the engine may serve now, `None` while it switches; agents only,
     /// written by `agent::switch`.
     pub serving: watch::Sender<Option<Serving>>,
-    /// Requests in progress at this agent; written by `agent::gate`.
+    /// Requests in progress at this process; written by `InProgress`.
     pub active: watch::Sender<u32>,
     /// Time to the first byte of the latest answer of the target; written by
     /// `agent::gate`, read by the pacing of transfers.
@@ -58,3 +58,44 @@
         self.config.borrow().clone()
     }
 }
+
+/// Counts a request as in progress until it is dropped.
+#[derive(Debug)]
+pub struct InProgress {
+    board: Arc<Blackboard>,
+}
+
+impl InProgress {
+    /// Raises the count of requests in progress.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    ///
+    /// use corianderramp::blackboard;
+    ///
+    /// let board = Arc::new(blackboard::Blackboard::default());
+    /// let request = blackboard::InProgress::new(&board);
+    /// assert_eq!(request.count(), 1);
+    /// drop(request);
+    /// assert_eq!(*board.active.borrow(), 0);
+    /// ```
+    #[must_use]
+    pub fn new(board: &Arc<Blackboard>) -> Self {
+        board.active.send_modify(|n| *n += 1);
+        Self {
+            board: board.clone(),
+        }
+    }
+
+    /// Requests in progress, this one included.
+    #[must_use]
+    pub fn count(&self) -> u32 {
+        *self.board.active.borrow()
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.board.active.send_modify(|n| *n = n.saturating_sub(1));
+    }
+}
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -17,38 +17,9 @@
 use super::pool::Ticket;
 use super::record::{End, Record};
 use super::share::Admitted;
-use crate::blackboard::Blackboard;
+use crate::blackboard::InProgress;
 use crate::clock::Clock;
 
-/// Counts a request as in progress until it is dropped.
-#[derive(Debug)]
-pub struct Progress {
-    board: Arc<Blackboard>,
-}
-
-impl Progress {
-    /// Raises the count of requests in progress.
-    #[must_use]
-    pub fn new(board: &Arc<Blackboard>) -> Self {
-        board.active.send_modify(|n| *n += 1);
-        Self {
-            board: board.clone(),
-        }
-    }
-
-    /// Requests in progress, this one included.
-    #[must_use]
-    pub fn count(&self) -> usize {
-        *self.board.active.borrow() as usize
-    }
-}
-
-impl Drop for Progress {
-    fn drop(&mut self) {
-        self.board.active.send_modify(|n| *n = n.saturating_sub(1));
-    }
-}
-
 /// Answer that a target streams.
 #[derive(Debug)]
 pub struct Stream<C: Clock> {
@@ -94,7 +65,7 @@
 pub struct Answer<C: Clock> {
     kind: Kind<C>,
     /// Held until the answer ends.
-    _progress: Progress,
+    _progress: InProgress,
 }
 
 #[derive(Debug)]
@@ -106,7 +77,7 @@
 impl<C: Clock> Answer<C> {
     /// Answer that is there as a whole.
     #[must_use]
-    pub fn whole(body: Bytes, progress: Progress) -> Self {
+    pub fn whole(body: Bytes, progress: InProgress) -> Self {
         Self {
             kind: Kind::Whole(Full::new(body)),
             _progress: progress,
@@ -115,7 +86,7 @@
 
     /// Answer that a target streams.
     #[must_use]
-    pub fn stream(parts: Parts<C>, progress: Progress) -> Self {
+    pub fn stream(parts: Parts<C>, progress: InProgress) -> Self {
         let stream = Stream {
             first: parts.first,
             body: parts.body,
--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 
 use super::Entry;
-use super::body::{Answer, Parts, Progress};
+use super::body::{Answer, Parts};
 use super::call::{self, Call, Place};
 use super::collect::{self, Collected};
 use super::dispatch::{self, Begun, Failure};
@@ -20,6 +20,7 @@
 use super::reply::{self, Refusal};
 use super::share::Admitted;
 use super::suspect;
+use crate::blackboard::InProgress;
 use crate::clock::Clock;
 use crate::journal::Operation;
 use crate::platform;
@@ -40,7 +41,7 @@
 impl<C: Clock, J: Journal> Entry<C, J> {
     /// Answers one request of a caller.
     pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Answer<C>> {
-        let progress = Progress::new(&self.ctx.board);
+        let progress = InProgress::new(&self.ctx.board);
         let http1 = request.version() == Version::HTTP_11;
         let id = request_id(request.headers());
         let mut record = Record::new(id.clone(), self.clock.clone(), self.counter.clone());
@@ -67,12 +68,12 @@
         self: &Arc<Self>,
         request: Request<Incoming>,
         record: &mut Record<C>,
-        in_progress: usize,
+        in_progress: u32,
     ) -> Result<Reply<C>, Refusal> {
         if request.version() < Version::HTTP_11 {
             return Err(reply::HTTP_VERSION);
         }
-        if in_progress > self.ctx.settings.limits.requests {
+        if in_progress as usize > self.ctx.settings.limits.requests {
             return Err(reply::ENTRY_FULL);
         }
         let authorization = request.headers().get(header::AUTHORIZATION);
@@ -182,7 +183,7 @@
             Verdict::Mismatch => return Err(reply::MISMATCH),
             Verdict::Unavailable => return Err(reply::JOURNAL),
         };
-        let progress = Progress::new(&self.ctx.board);
+        let progress = InProgress::new(&self.ctx.board);
         let own = Record::new(record.id.clone(), self.clock.clone(), self.counter.clone());
         let mut attempt = std::mem::replace(record, own);
         let entry = self.clone();
@@ -242,7 +243,7 @@
         admitted: Admitted<C>,
         call: &Call,
         mut record: Record<C>,
-        progress: Progress,
+        progress: InProgress,
     ) -> Response<Answer<C>> {
         let Begun { head, first, body } = started.begun;
         record.status = head.status.as_u16();
@@ -298,7 +299,7 @@
 fn whole<C: Clock>(
     answer: Response<Bytes>,
     mut record: Record<C>,
-    progress: Progress,
+    progress: InProgress,
 ) -> Response<Answer<C>> {
     record.status = answer.status().as_u16();
     let outcome = Outcome::of(answer.headers()).unwrap_or(Outcome::Done);
