End with status 2 for files that are not valid, like the daemon

The daemon ended with status 2 for unusable settings and `corianderramp check` with 3 for the same file. Required is 2 for both.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -22,8 +22,7 @@
 const STATUSES: &str = "Exit status:
   0  done; `diff` found no difference
   1  `diff` found a difference
-  2  wrong usage
-  3  a file or an object in it is not valid; nothing was written
+  2  wrong usage, or a file or an object in it is not valid; nothing was written
   4  an object was changed by someone else meanwhile; it was not written
   5  the platform could not be reached within the time given with --retry
   6  written, but not in force or not live everywhere within the time given with --within
--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -101,8 +101,7 @@
     #[must_use]
     pub fn status(&self) -> u8 {
         match self {
-            Self::Usage { .. } => 2,
-            Self::Invalid { .. } => 3,
+            Self::Usage { .. } | Self::Invalid { .. } => 2,
             Self::Conflict { .. } => 4,
             Self::Unavailable { .. } => 5,
             Self::Pending { .. } => 6,
--- a/tests/operator_files.rs
+++ b/tests/operator_files.rs
@@ -131,11 +131,11 @@
     let weights = folder.path().join("weights");
     fs::write(&weights, vec![0; 4096]).unwrap();
     let ran = model(&weights, &["--chunk-size", "1024"]).await;
-    assert_eq!(ran.status, 3);
+    assert_eq!(ran.status, 2);
     assert!(ran.err.contains("spec.chunks[1]"), "{}", ran.err);
     fs::write(&weights, []).unwrap();
     let ran = model(&weights, &[]).await;
-    assert_eq!(ran.status, 3);
+    assert_eq!(ran.status, 2);
     assert!(ran.err.contains("spec.size"), "{}", ran.err);
 }
 
