--- a/standins/src/capacity.rs
+++ b/standins/src/capacity.rs
@@ -84,6 +84,10 @@
             .is_some_and(|s| s.processes as usize >= expected && s.lagging.is_empty())
     };
     harness::wait_until("all processes known to the coordinator", READY_LIMIT, known).await?;
+    // A declared rollout is the ordinary state: its agents report progress.
+    let all = u32::try_from(targets).unwrap_or(u32::MAX);
+    let generation = site.roll_out("v1", all).await?;
+    site.wait_live(generation, all, READY_LIMIT).await?;
     let mut row = Row {
         targets,
         entries,
@@ -94,7 +98,7 @@
     Ok(row)
 }
 
-/// Processor time, memory and platform calls without requests or changes.
+/// Processor time, memory and platform calls after a rollout, without requests or changes.
 async fn idle(site: &Site, settings: &Settings, row: &mut Row) {
     let members: Vec<&Member> = site.entries.iter().chain(&site.targets).collect();
     let before: Vec<f64> = members
