Rename the client of the own object API to objects

The users' platform has a store with a protocol of its own, and its adapter takes the name platform.

--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -8,7 +8,7 @@
 use snafu::Snafu;
 
 use super::changes::Sides;
-use crate::platform;
+use crate::objects;
 use crate::resource::Kind;
 
 /// Exit status of a call that was refused or whose output could not be written.
@@ -52,7 +52,7 @@
         /// Address of the platform.
         address: SocketAddr,
         /// Last answer.
-        cause: platform::Error,
+        cause: objects::Error,
         /// Time spent on retries, seconds.
         waited_s: u64,
     },
@@ -78,7 +78,7 @@
         /// Object or kind of the call.
         what: String,
         /// Answer of the platform.
-        cause: platform::Error,
+        cause: objects::Error,
     },
     /// A file can't be written.
     #[snafu(display("can't write {}: {source}", path.display()))]
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -11,7 +11,7 @@
 use super::remote::Remote;
 use super::table::Table;
 use crate::cli;
-use crate::platform;
+use crate::objects;
 use crate::resource::{Kind, Raw};
 
 /// Longest cell, characters.
@@ -37,14 +37,14 @@
     Ok(0)
 }
 
-fn single(object: Raw) -> platform::List {
-    platform::List {
+fn single(object: Raw) -> objects::List {
+    objects::List {
         revision: object.metadata.revision,
         items: vec![object],
     }
 }
 
-fn many(kind: Kind, list: &platform::List, console: &Console) -> Result<(), Error> {
+fn many(kind: Kind, list: &objects::List, console: &Console) -> Result<(), Error> {
     match console.format {
         Format::Json => console.json(list),
         Format::Toml => console.write(&files::render(&list.items)?),
--- a/src/cmd/progress.rs
+++ b/src/cmd/progress.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use super::table::{self, Table};
-use crate::platform::{Change, Event};
+use crate::objects::{Change, Event};
 use crate::resource::{Kind, Object, Raw, rollout, status, vm};
 
 /// Most reasons that the result lists for a data centre.
--- a/src/cmd/remote.rs
+++ b/src/cmd/remote.rs
@@ -10,7 +10,7 @@
 use super::console::Console;
 use super::error::Error;
 use super::options::Options;
-use crate::platform::{self, Api};
+use crate::objects::{self, Api};
 use crate::resource::{Kind, Object, Raw, Resource};
 
 /// First pause before a retry; doubled after each.
@@ -22,7 +22,7 @@
 /// The platform as an operator's command sees it.
 #[derive(Debug)]
 pub struct Remote<'a> {
-    client: platform::Client,
+    client: objects::Client,
     address: SocketAddr,
     retry: Duration,
     console: &'a Console,
@@ -33,7 +33,7 @@
     #[must_use]
     pub fn new(options: &Options, console: &'a Console) -> Self {
         Self {
-            client: platform::Client::new(options.platform, None),
+            client: objects::Client::new(options.platform, None),
             address: options.platform,
             retry: options.retry,
             console,
@@ -53,7 +53,7 @@
     ///
     /// # Errors
     /// Fails when the platform can't be reached in time or refuses.
-    pub async fn list(&self, kind: Kind, prefix: &str) -> Result<platform::List, Error> {
+    pub async fn list(&self, kind: Kind, prefix: &str) -> Result<objects::List, Error> {
         let call = async || self.client.list(kind, prefix).await;
         self.retried(kind.name(), call).await
     }
@@ -77,13 +77,13 @@
     /// `Conflict` with both sides when someone else wrote something different.
     pub async fn put(&self, object: &Raw) -> Result<Raw, Error> {
         let call = async || match self.client.put(object.clone()).await {
-            Err(platform::Error::Conflict { current: Some(o) }) if o.spec == object.spec => Ok(*o),
+            Err(objects::Error::Conflict { current: Some(o) }) if o.spec == object.spec => Ok(*o),
             other => other,
         };
         let what = format!("{} {}", object.kind, object.metadata.name);
         let answer = self.attempt(call).await;
         answer.map_err(|e| match e {
-            Failure::Platform(platform::Error::Conflict { current }) => {
+            Failure::Platform(objects::Error::Conflict { current }) => {
                 conflict(object, current.as_deref())
             }
             other => other.named(&what),
@@ -99,7 +99,7 @@
         let (name, revision) = (&metadata.name, metadata.revision);
         let call = async || self.client.delete(*kind, name, revision).await;
         self.attempt(call).await.map_err(|e| match e {
-            Failure::Platform(platform::Error::Conflict { current }) => {
+            Failure::Platform(objects::Error::Conflict { current }) => {
                 conflict(object, current.as_deref())
             }
             other => other.named(&format!("{kind} {name}")),
@@ -114,13 +114,13 @@
         &self,
         revision: u64,
         kinds: &[Kind],
-    ) -> Result<platform::Watch, platform::Error> {
+    ) -> Result<objects::Watch, objects::Error> {
         self.client.watch(revision, kinds).await
     }
 
     async fn retried<T, F>(&self, what: &str, call: F) -> Result<T, Error>
     where
-        F: AsyncFn() -> Result<T, platform::Error>,
+        F: AsyncFn() -> Result<T, objects::Error>,
     {
         self.attempt(call).await.map_err(|e| e.named(what))
     }
@@ -129,7 +129,7 @@
     /// answer was lost can be repeated.
     async fn attempt<T, F>(&self, call: F) -> Result<T, Failure>
     where
-        F: AsyncFn() -> Result<T, platform::Error>,
+        F: AsyncFn() -> Result<T, objects::Error>,
     {
         let start = Instant::now();
         let mut pause = FIRST_PAUSE;
@@ -174,10 +174,10 @@
 /// Why a call failed in the end.
 #[derive(Debug)]
 enum Failure {
-    Platform(platform::Error),
+    Platform(objects::Error),
     Outage {
         address: SocketAddr,
-        cause: platform::Error,
+        cause: objects::Error,
         waited_s: u64,
     },
 }
@@ -202,8 +202,8 @@
     }
 }
 
-fn is_outage(error: &platform::Error) -> bool {
-    use platform::Error::{Unavailable, Uncertain};
+fn is_outage(error: &objects::Error) -> bool {
+    use objects::Error::{Unavailable, Uncertain};
     matches!(error, Unavailable { .. } | Uncertain { .. })
 }
 
--- a/src/cmd/watch.rs
+++ b/src/cmd/watch.rs
@@ -11,7 +11,7 @@
 use super::progress::{self, Observed, Progress};
 use super::remote::Remote;
 use crate::cli;
-use crate::platform::Watch;
+use crate::objects::Watch;
 use crate::resource::{Kind, status};
 
 /// Kinds that a rollout's progress depends on.
--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -12,7 +12,7 @@
 use crate::config;
 use crate::control::pb::reports_server::ReportsServer;
 use crate::daemon;
-use crate::platform;
+use crate::objects;
 
 pub mod collect;
 pub mod counts;
@@ -43,7 +43,7 @@
 pub fn start<C: Clock>(
     ctx: &daemon::Context,
     clock: C,
-    platform: &platform::Client,
+    platform: &objects::Client,
     counter: Counter,
     config: &config::Handle,
 ) -> ReportsServer<service::Service<C>> {
--- a/src/coordinator/collect.rs
+++ b/src/coordinator/collect.rs
@@ -14,7 +14,7 @@
 use crate::coordinator::counts::{Accumulator, Minute};
 use crate::coordinator::lease::Role;
 use crate::daemon;
-use crate::platform::{Api, Error};
+use crate::objects::{Api, Error};
 use crate::resource::burn::{Burn, KEPT};
 use crate::resource::{Kind, Object};
 
--- a/src/coordinator/feed.rs
+++ b/src/coordinator/feed.rs
@@ -17,7 +17,7 @@
 use crate::config::store::{Delta, Entry};
 use crate::coordinator::lease::Role;
 use crate::daemon;
-use crate::platform::{self, Api, Change, Event};
+use crate::objects::{self, Api, Change, Event};
 use crate::resource::{CONFIG_KINDS, Kind, Raw};
 
 /// Longest pause before another attempt, so that a change is in force within
@@ -27,7 +27,7 @@
 #[derive(Debug, Snafu)]
 enum Error {
     #[snafu(display("{source}"), context(false))]
-    Platform { source: platform::Error },
+    Platform { source: objects::Error },
     #[snafu(display("the platform closed the watch"))]
     Closed,
 }
@@ -43,7 +43,7 @@
 /// Follows the platform whenever this process is active.
 pub(super) async fn run(
     ctx: daemon::Context,
-    platform: platform::Client,
+    platform: objects::Client,
     config: config::Handle,
     mut role: watch::Receiver<Role>,
 ) {
@@ -62,7 +62,7 @@
     }
 }
 
-async fn follow_again(platform: &platform::Client, config: &config::Handle) {
+async fn follow_again(platform: &objects::Client, config: &config::Handle) {
     loop {
         if let Err(e) = follow(platform, config).await {
             log::warn!(error:% = e; "watch of the platform ended");
@@ -72,14 +72,14 @@
     }
 }
 
-async fn follow(platform: &platform::Client, config: &config::Handle) -> Result<(), Error> {
+async fn follow(platform: &objects::Client, config: &config::Handle) -> Result<(), Error> {
     let known = config.revisions().complete;
     if known == 0 {
         list(platform, config).await?;
     }
     let at = config.revisions().complete;
     match platform.watch(at, &CONFIG_KINDS).await {
-        Err(platform::Error::Compacted { .. }) => list(platform, config).await,
+        Err(objects::Error::Compacted { .. }) => list(platform, config).await,
         Err(e) => Err(e.into()),
         Ok(watch) => pass_on(watch, at, config).await,
     }
@@ -87,7 +87,7 @@
 
 /// Applies each event to the store.
 async fn pass_on(
-    mut watch: platform::Watch,
+    mut watch: objects::Watch,
     mut at: u64,
     config: &config::Handle,
 ) -> Result<(), Error> {
@@ -111,7 +111,7 @@
 /// Lists all kinds. The lists are taken one after the other at different
 /// revisions, so the watch is followed from the oldest to the newest of them
 /// before the snapshot is applied: it must be the state at one revision.
-async fn list(platform: &platform::Client, config: &config::Handle) -> Result<(), Error> {
+async fn list(platform: &objects::Client, config: &config::Handle) -> Result<(), Error> {
     let mut lists = Vec::new();
     for kind in CONFIG_KINDS {
         let list = platform.list(kind, "").await?;
--- a/src/coordinator/keeper.rs
+++ b/src/coordinator/keeper.rs
@@ -12,7 +12,7 @@
 use crate::coordinator::lease::{Action, Heard, Identity, Role, State, Surroundings};
 use crate::daemon;
 use crate::membership;
-use crate::platform::{Api, Error};
+use crate::objects::{Api, Error};
 use crate::rendezvous;
 use crate::resource::{Kind, Object, Raw, lease};
 
--- a/src/coordinator/writer.rs
+++ b/src/coordinator/writer.rs
@@ -12,7 +12,7 @@
 use crate::coordinator::progress;
 use crate::coordinator::push::Process;
 use crate::daemon;
-use crate::platform::{Api, Error};
+use crate::objects::{Api, Error};
 use crate::resource::status::{MAX_LISTED, Status};
 use crate::resource::{Kind, Object};
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,7 +15,7 @@
 use crate::blackboard::{Blackboard, Phase};
 use crate::clock;
 use crate::control;
-use crate::platform;
+use crate::objects;
 use crate::resource::vm;
 use crate::settings::Settings;
 use crate::{agent, burn, config, coordinator, entry, journal, telemetry, weights};
@@ -82,7 +82,7 @@
             settings: Arc::new(settings),
             board: Arc::default(),
             pool: Arc::new(pool),
-            boot: platform::new_id(),
+            boot: objects::new_id(),
             stop: CancellationToken::new(),
         }
     }
@@ -146,7 +146,7 @@
         key: "platform.address",
     })?;
     let listener = listen(callers).await?;
-    let client = platform::Client::new(remote.address, ctx.settings.bind);
+    let client = objects::Client::new(remote.address, ctx.settings.bind);
     let counter = burn::Counter::default();
     let (config, sync) = config::start(ctx, clock);
     let reports = coordinator::start(ctx, clock, &client, counter.clone(), &config);
--- a/src/entry/handle.rs
+++ b/src/entry/handle.rs
@@ -23,7 +23,7 @@
 use crate::blackboard::InProgress;
 use crate::clock::Clock;
 use crate::journal::Operation;
-use crate::platform;
+use crate::objects;
 use crate::protocol::{self, Outcome};
 use crate::resource::service::{Backend, Class};
 
@@ -359,5 +359,5 @@
     };
     given
         .filter(usable)
-        .map_or_else(platform::new_id, ToOwned::to_owned)
+        .map_or_else(objects::new_id, ToOwned::to_owned)
 }
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -13,7 +13,7 @@
 use crate::control::pb::journal_server::JournalServer;
 use crate::daemon::Context;
 use crate::digest;
-use crate::platform::Api;
+use crate::objects::Api;
 use crate::resource::journal;
 
 pub mod actor;
--- a/src/journal/actor.rs
+++ b/src/journal/actor.rs
@@ -12,7 +12,7 @@
 use super::store::{self, Gone, Outcome, Want};
 use crate::blackboard::Blackboard;
 use crate::clock::Clock;
-use crate::platform::{self, Api};
+use crate::objects::{self, Api};
 use crate::resource::{journal, service};
 use crate::settings;
 
@@ -56,9 +56,9 @@
     /// A try to acquire the shard.
     Acquired(Result<Outcome, store::Error>),
     /// A write of the head.
-    Head(journal::Head, Result<u64, platform::Error>),
+    Head(journal::Head, Result<u64, objects::Error>),
     /// A write of a segment.
-    Segment(String, Result<(), platform::Error>),
+    Segment(String, Result<(), objects::Error>),
 }
 
 /// What all shards of a process share.
--- a/src/journal/actor/events.rs
+++ b/src/journal/actor/events.rs
@@ -6,7 +6,7 @@
 use crate::clock::Clock;
 use crate::journal::held::{Answer, Held};
 use crate::journal::store::{self, Gone, Outcome, Want};
-use crate::platform::{self, Api};
+use crate::objects::{self, Api};
 use crate::resource::{Raw, journal};
 
 impl<C: Clock, P: Api> Actor<C, P> {
@@ -25,7 +25,7 @@
                 }
             }
             Event::Head(head, Ok(revision)) => self.written(head, revision),
-            Event::Head(_, Err(platform::Error::Conflict { current })) => {
+            Event::Head(_, Err(objects::Error::Conflict { current })) => {
                 self.conflict(current.as_deref());
             }
             Event::Head(_, Err(e)) | Event::Segment(_, Err(e)) => self.failed(&e),
@@ -98,7 +98,7 @@
         }
     }
 
-    fn failed(&mut self, error: &platform::Error) {
+    fn failed(&mut self, error: &objects::Error) {
         log::warn!(shard = self.shard, error:%; "a journal write failed");
         let now = self.shared.clock.now();
         self.next = now + BACKOFF;
--- a/src/journal/store.rs
+++ b/src/journal/store.rs
@@ -6,7 +6,7 @@
 
 use super::ownership::{self, Observed, Step};
 use super::table::Table;
-use crate::platform::{self, Api};
+use crate::objects::{self, Api};
 use crate::resource::{Invalid, Kind, Object, Raw, journal};
 
 /// Why a shard can't be read or taken over.
@@ -16,7 +16,7 @@
     #[snafu(display("{source}"))]
     Platform {
         /// Cause.
-        source: platform::Error,
+        source: objects::Error,
     },
     /// An object of the journal can't be understood.
     #[snafu(display("Journal/{name}: {source}"))]
@@ -189,7 +189,7 @@
                 revision,
             })
         }
-        Err(platform::Error::Conflict { current }) => {
+        Err(objects::Error::Conflict { current }) => {
             let (head, _) = parse_head(current.as_deref())?;
             Ok(Outcome::Follow(head))
         }
@@ -230,13 +230,13 @@
 /// new revision.
 ///
 /// # Errors
-/// As `platform::Api::put`.
+/// As `objects::Api::put`.
 pub async fn put_head<P: Api>(
     platform: &P,
     shard: u16,
     head: &journal::Head,
     revision: u64,
-) -> Result<u64, platform::Error> {
+) -> Result<u64, objects::Error> {
     let mut object = Object::new(journal::head_name(shard), head.clone());
     object.metadata.revision = revision;
     let written = platform.put(raw_of(&object)?).await?;
@@ -246,16 +246,16 @@
 /// Writes a segment. Writing it again after a lost answer succeeds.
 ///
 /// # Errors
-/// As `platform::Api::put`.
+/// As `objects::Api::put`.
 pub async fn put_segment<P: Api>(
     platform: &P,
     name: &str,
     segment: &journal::Segment,
-) -> Result<(), platform::Error> {
+) -> Result<(), objects::Error> {
     let raw = raw_of(&Object::new(name, segment.clone()))?;
     match platform.put(raw.clone()).await {
         Ok(_) => Ok(()),
-        Err(platform::Error::Conflict { current: Some(o) }) if o.spec == raw.spec => Ok(()),
+        Err(objects::Error::Conflict { current: Some(o) }) if o.spec == raw.spec => Ok(()),
         Err(e) => Err(e),
     }
 }
@@ -289,8 +289,8 @@
     platform.get(kind, name).await.context(PlatformSnafu)
 }
 
-fn raw_of<S: crate::resource::Resource>(object: &Object<S>) -> Result<Raw, platform::Error> {
-    object.to_raw().map_err(|e| platform::Error::Refused {
+fn raw_of<S: crate::resource::Resource>(object: &Object<S>) -> Result<Raw, objects::Error> {
+    object.to_raw().map_err(|e| objects::Error::Refused {
         status: 400,
         reason: e.to_string(),
     })
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod journal;
 pub mod logging;
 pub mod membership;
-pub mod platform;
+pub mod objects;
 pub mod protocol;
 pub mod rendezvous;
 pub mod resource;
--- a/standins/examples/journal.rs
+++ b/standins/examples/journal.rs
@@ -14,7 +14,7 @@
 use corianderramp::journal::store::{self, Outcome, Want};
 use corianderramp::journal::table::Table;
 use corianderramp::journal::{Receipt, table};
-use corianderramp::platform::Client;
+use corianderramp::objects::Client;
 use corianderramp::resource::journal;
 use corianderramp::resource::service::JournalMode;
 use corianderramp::settings;
--- a/standins/src/capacity.rs
+++ b/standins/src/capacity.rs
@@ -6,7 +6,7 @@
 use std::io::{self, Write as _};
 use std::time::Duration;
 
-use corianderramp::platform::Api;
+use corianderramp::objects::Api;
 use corianderramp::resource::{Kind, Object, drain, status};
 use serde::Deserialize;
 use snafu::ResultExt;
--- a/standins/src/journal/node.rs
+++ b/standins/src/journal/node.rs
@@ -12,7 +12,7 @@
 use corianderramp::daemon::Context;
 use corianderramp::digest;
 use corianderramp::journal::{self, Operation, Receipt, Reservation};
-use corianderramp::platform;
+use corianderramp::objects;
 use corianderramp::settings::{self, Settings};
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
@@ -169,7 +169,7 @@
         settings: Arc::new(settings),
         board: setup.board.clone(),
         pool: Arc::new(control::Pool::new(Some(setup.bind))),
-        boot: platform::new_id(),
+        boot: objects::new_id(),
         stop: stop.clone(),
     };
     let (journal, server) = journal::start(&ctx, clock::System, setup.link.clone());
--- a/standins/src/journal/store.rs
+++ b/standins/src/journal/store.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use corianderramp::platform::{self, Api, Error, List};
+use corianderramp::objects::{self, Api, Error, List};
 use corianderramp::resource::{Kind, Raw};
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
@@ -224,7 +224,7 @@
     }
 
     async fn put(&self, mut object: Raw) -> Result<Raw, Error> {
-        object.metadata.operation = platform::new_id();
+        object.metadata.operation = objects::new_id();
         self.arrive().await?;
         if self.happens(self.faults().late) {
             let store = self.store.clone();
--- a/standins/src/nodes.rs
+++ b/standins/src/nodes.rs
@@ -15,7 +15,7 @@
 use corianderramp::control;
 use corianderramp::coordinator;
 use corianderramp::daemon;
-use corianderramp::platform::{self, Client};
+use corianderramp::objects::{self, Client};
 use corianderramp::resource::vm;
 use corianderramp::settings::Settings;
 use futures_util::StreamExt;
@@ -180,7 +180,7 @@
         pool: Arc::new(control::Pool::new(settings.bind)),
         settings: Arc::new(settings),
         board,
-        boot: platform::new_id(),
+        boot: objects::new_id(),
         stop: CancellationToken::new(),
     };
     let (config, sync) = config::start(&ctx, System);
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use corianderramp::platform::Event;
+use corianderramp::objects::Event;
 use corianderramp::resource::{self, Kind, Raw};
 use futures_util::stream;
 use http::{Method, Request, Response, StatusCode};
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use corianderramp::platform::{Change, Event, List};
+use corianderramp::objects::{Change, Event, List};
 use corianderramp::resource::{Kind, Metadata, Raw};
 
 /// Why a write was not accepted.
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -244,7 +244,7 @@
         pool: Arc::new(control::Pool::new(settings.bind)),
         settings: Arc::new(settings),
         board: Arc::new(board),
-        boot: corianderramp::platform::new_id(),
+        boot: corianderramp::objects::new_id(),
         stop: CancellationToken::new(),
     }
 }
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use corianderramp::digest;
-use corianderramp::platform::{self as object_api, Api};
+use corianderramp::objects::{self as object_api, Api};
 use corianderramp::resource::{Kind, Object, Resource, account, rollout, service, status, vm};
 use corianderramp::settings;
 use snafu::ResultExt;
--- a/standins/tests/control_plane.rs
+++ b/standins/tests/control_plane.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use corianderramp::config::{self, View};
-use corianderramp::platform::{Api, Client, Error};
+use corianderramp::objects::{Api, Client, Error};
 use corianderramp::resource::{Kind, Object, Raw, drain, lease, status};
 use parking_lot::Mutex;
 use standins::harness::{self, CONTROL_PORT, Place, Subnet};
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use corianderramp::platform::{Api, Change, Client, Error};
+use corianderramp::objects::{Api, Change, Client, Error};
 use corianderramp::resource::{Kind, Object, Raw, drain};
 use standins::platform::faults::Faults;
 use standins::platform::{self, Handle};
--- a/tests/operator_progress.rs
+++ b/tests/operator_progress.rs
@@ -4,7 +4,7 @@
 
 use corianderramp::cmd::progress::{self, Observed};
 use corianderramp::cmd::{changes, force};
-use corianderramp::platform::{Change, Event};
+use corianderramp::objects::{Change, Event};
 use corianderramp::resource::{Metadata, Object, Raw, Resource, rollout, status, vm};
 use serde_json::json;
 
