Serve callers on the users' platform through a gateway

Adds the adapter in src/platform, the catalog of what the platform says, the choice of targets and the request path of a gateway.

--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -12,6 +12,7 @@
 pub mod check;
 pub mod completions;
 pub mod console;
+pub mod daemon;
 pub mod delete;
 pub mod diff;
 pub mod drain;
--- /dev/null
+++ b/src/gateway/probe.rs
@@ -0,0 +1,63 @@
+//! Answers the load balancer's readiness probes.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use log::info;
+use tokio::net::TcpListener;
+use tokio::time;
+
+use crate::clock::Clock;
+use crate::gateway::Gateway;
+use crate::platform::request;
+
+/// Pause after a failed accept, so that a lack of descriptors does not use up the processor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves probes until the process ends.
+pub async fn serve<C: Clock>(listener: TcpListener, gateway: Arc<Gateway<C>>) {
+    let mut was_ready = false;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let is_ready = gateway.is_ready();
+        if is_ready != was_ready {
+            info!(ready = is_ready, config = gateway.board.view().configured, stopping = gateway.is_stopping(); "readiness");
+            was_ready = is_ready;
+        }
+        let gateway = gateway.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |probe: http::Request<hyper::body::Incoming>| {
+                let is_probe = request::is_ready_probe(probe.method(), probe.uri());
+                let status = match (is_probe, gateway.is_ready()) {
+                    (true, true) => StatusCode::OK,
+                    (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+                    (false, _) => StatusCode::NOT_FOUND,
+                };
+                let mut response = Response::new(Full::<Bytes>::default());
+                *response.status_mut() = status;
+                async move { Ok::<_, Infallible>(response) }
+            });
+            // A broken probe connection concerns only the prober, which asks again.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+impl<C: Clock> Gateway<C> {
+    /// Whether new connections can be served.
+    pub(super) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.board.view().config.is_some()
+    }
+}
--- /dev/null
+++ b/src/node/follow.rs
@@ -0,0 +1,221 @@
+//! Follows the platform's store and keeps the board current.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use log::{info, warn};
+use parking_lot::Mutex;
+use std::sync::Arc;
+use tokio::time;
+
+use crate::clock::Clock;
+use crate::fleet::catalog::{Catalog, Known, Topic};
+use crate::node::Board;
+use crate::platform::decode;
+use crate::platform::store::{Client, Error, Event, List, Object};
+
+/// Longest wait of a watch; silent connections are noticed earlier by the kernel's probes.
+const WATCH_WAIT: Duration = Duration::from_secs(15);
+/// First pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after failed calls.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Age at which a listed release is taken: its naming was not seen, so it may be due soon.
+const LISTED_AGE: Duration = Duration::from_millis(5_000);
+
+/// Time of the last answer of the store to any topic.
+#[derive(Clone, Debug, Default)]
+pub struct Contact {
+    last: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Contact {
+    fn note(&self, now: Instant) {
+        *self.last.lock() = Some(now);
+    }
+
+    /// Time since the store last answered, if it ever did.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let last = *self.last.lock();
+        last.map(|at| now.saturating_duration_since(at))
+    }
+}
+
+/// Keeps `topic` of the board current until the process ends.
+pub async fn run<C: Clock>(
+    topic: Topic,
+    store: SocketAddr,
+    board: Board,
+    contact: Contact,
+    clock: C,
+) {
+    let mut client = Client::new(store);
+    let mut follower = Follower {
+        topic,
+        board,
+        clock,
+        rejected: BTreeSet::new(),
+    };
+    let mut pause = FIRST_PAUSE;
+    let mut revision = None;
+    let mut is_lost = false;
+    loop {
+        let result = follower.step(&mut client, revision).await;
+        match result {
+            Ok(next) => {
+                contact.note(follower.clock.now());
+                if is_lost {
+                    info!(topic = topic.name(), revision = next; "store back");
+                    is_lost = false;
+                }
+                pause = FIRST_PAUSE;
+                revision = Some(next);
+            }
+            Err(Error::Compacted { revision: asked }) => {
+                info!(topic = topic.name(), revision = asked; "store history gone, listing again");
+                revision = None;
+            }
+            Err(e) => {
+                if !is_lost {
+                    warn!(topic = topic.name(), revision, reason = e.to_string().as_str(); "store lost");
+                    is_lost = true;
+                }
+                time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+struct Follower<C: Clock> {
+    topic: Topic,
+    board: Board,
+    clock: C,
+    /// Objects that were refused, so that each is logged once.
+    rejected: BTreeSet<(String, u64)>,
+}
+
+impl<C: Clock> Follower<C> {
+    /// Lists or watches once; returns the revision to continue from.
+    async fn step(&mut self, client: &mut Client, revision: Option<u64>) -> Result<u64, Error> {
+        let Some(revision) = revision else {
+            let list = client.list(self.topic).await?;
+            let revision = list.revision;
+            self.replace(list);
+            return Ok(revision);
+        };
+        let changes = client.watch(self.topic, revision, WATCH_WAIT).await?;
+        for event in changes.events {
+            self.apply(event, Duration::ZERO);
+        }
+        Ok(changes.revision.max(revision))
+    }
+
+    fn replace(&mut self, list: List) {
+        if self.topic != Topic::Targets {
+            for object in list.items {
+                let removed = false;
+                self.apply(Event { removed, object }, LISTED_AGE);
+            }
+            return;
+        }
+        let decoded = list.items.into_iter().filter_map(|object| {
+            let (name, revision) = (object.meta.name.clone(), object.meta.revision);
+            let value = self.target(object)?;
+            Some(Known {
+                name,
+                revision,
+                value,
+            })
+        });
+        let targets: Vec<_> = decoded.collect();
+        let count = targets.len();
+        let revision = list.revision;
+        let changed = self
+            .board
+            .update(|c| c.list_targets(revision, targets));
+        info!(topic = "targets", revision, count, changed; "listed");
+    }
+
+    fn target(&mut self, object: Object) -> Option<crate::fleet::Target> {
+        let Object { meta, spec } = object;
+        match decode::target(&meta.name, spec) {
+            Ok(target) => Some(target),
+            Err(e) => {
+                self.reject(&meta.name, meta.revision, &e);
+                None
+            }
+        }
+    }
+
+    fn reject(&mut self, name: &str, revision: u64, reason: &decode::Malformed) {
+        if self.rejected.insert((name.to_owned(), revision)) {
+            let reason = reason.to_string();
+            warn!(topic = self.topic.name(), name, revision, reason = reason.as_str(); "object ignored");
+        }
+    }
+
+    /// Applies a change that happened `age` ago.
+    fn apply(&mut self, event: Event, age: Duration) {
+        let (name, revision) = (event.object.meta.name.clone(), event.object.meta.revision);
+        match self.topic {
+            Topic::Config if event.removed => {
+                warn!(topic = "config", name = name.as_str(), revision; "removal ignored");
+            }
+            Topic::Config => match decode::config(event.object.spec) {
+                Ok(config) => {
+                    let version = config.version;
+                    let applied = self.board.update(|c| c.configure(revision, config));
+                    info!(topic = "config", version, revision, applied; "config");
+                }
+                Err(e) => self.reject(&name, revision, &e),
+            },
+            Topic::Targets => self.apply_target(event),
+            Topic::Releases if event.removed => {
+                warn!(topic = "releases", name = name.as_str(), revision; "removal ignored");
+            }
+            Topic::Releases => match decode::release(event.object.spec) {
+                Ok(release) => {
+                    let version = release.version;
+                    let now = self.clock.now();
+                    let seen = now.checked_sub(age).unwrap_or(now);
+                    let applied = self
+                        .board
+                        .update(|c| c.release(&name, revision, release, seen));
+                    info!(topic = "releases", model = name.as_str(), version, revision, applied; "release");
+                }
+                Err(e) => self.reject(&name, revision, &e),
+            },
+        }
+    }
+
+    fn apply_target(&mut self, event: Event) {
+        let (name, revision) = (event.object.meta.name.clone(), event.object.meta.revision);
+        let value = if event.removed {
+            None
+        } else {
+            self.target(event.object)
+        };
+        let before = self.board.view();
+        let known = Known {
+            name: name.clone(),
+            revision,
+            value,
+        };
+        let changed = self.board.update(|c: &mut Catalog| c.change_target(known));
+        if !changed {
+            return;
+        }
+        let after = self.board.view();
+        let describe = |c: &Catalog| {
+            c.target(&name).map_or_else(
+                || "absent".to_owned(),
+                |t| format!("{:?}/{:?}", t.phase, t.weights),
+            )
+        };
+        info!(topic = "targets", id = name.as_str(), revision, before = describe(&before).as_str(), after = describe(&after).as_str(); "target");
+    }
+}
--- /dev/null
+++ b/src/node/message.rs
@@ -0,0 +1,143 @@
+//! Datagrams between gateways and hosts.
+
+use prost::Message;
+
+use crate::place::ledger::Ticket;
+
+/// One datagram.
+#[derive(Clone, PartialEq, Message)]
+pub struct Packet {
+    /// What it says.
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5")]
+    pub body: Option<Body>,
+}
+
+/// Kinds of datagrams.
+#[derive(Clone, Copy, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// A gateway wants to hear a host's state.
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    /// State of the host's target.
+    #[prost(message, tag = "2")]
+    State(State),
+    /// A gateway asks for a place.
+    #[prost(message, tag = "3")]
+    Ask(Ask),
+    /// Answer to an ask.
+    #[prost(message, tag = "4")]
+    Answer(Answer),
+    /// A request has ended.
+    #[prost(message, tag = "5")]
+    Done(Done),
+}
+
+/// A gateway wants to hear a host's state.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Hello {
+    /// Number of the gateway's incarnation.
+    #[prost(uint64, tag = "1")]
+    pub gateway: u64,
+}
+
+/// State of the host's target.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct State {
+    /// Places for requests of the lowest rank.
+    #[prost(uint32, tag = "1")]
+    pub free: u32,
+    /// Version of the weights in use; 0 for none.
+    #[prost(uint64, tag = "2")]
+    pub weights: u64,
+    /// Whether the target takes requests.
+    #[prost(bool, tag = "3")]
+    pub is_open: bool,
+    /// Number of the statement; later ones are higher.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+    /// Port of the target on the host's VM.
+    #[prost(uint32, tag = "5")]
+    pub port: u32,
+}
+
+/// A gateway asks for a place.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Ask {
+    /// Number of the gateway's incarnation.
+    #[prost(uint64, tag = "1")]
+    pub gateway: u64,
+    /// Number of the request.
+    #[prost(uint64, tag = "2")]
+    pub request: u64,
+    /// Rank; 0 is the most urgent.
+    #[prost(uint32, tag = "3")]
+    pub priority: u32,
+    /// Time within which the first event is due, milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub objective: u32,
+}
+
+/// Answer to an ask.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Answer {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    /// Whether the request may be sent.
+    #[prost(bool, tag = "2")]
+    pub is_granted: bool,
+    /// Time until the next place is expected to be free, milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub wait: u32,
+    /// State after the decision.
+    #[prost(message, optional, tag = "4")]
+    pub state: Option<State>,
+}
+
+/// A request has ended.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Done {
+    /// Number of the gateway's incarnation.
+    #[prost(uint64, tag = "1")]
+    pub gateway: u64,
+    /// Number of the request.
+    #[prost(uint64, tag = "2")]
+    pub request: u64,
+}
+
+impl Done {
+    /// Grant that ends.
+    #[must_use]
+    pub fn ticket(&self) -> Ticket {
+        Ticket {
+            gateway: self.gateway,
+            request: self.request,
+        }
+    }
+}
+
+impl From<Body> for Packet {
+    fn from(body: Body) -> Self {
+        Self { body: Some(body) }
+    }
+}
+
+/// Bytes of a datagram.
+#[must_use]
+pub fn encode(body: Body) -> Vec<u8> {
+    Packet::from(body).encode_to_vec()
+}
+
+/// Content of a datagram; `None` for anything that is not one of ours.
+///
+/// ```
+/// use corianderramp::node::message::{self, Body, Hello};
+///
+/// let hello = Body::Hello(Hello { gateway: 7 });
+/// assert_eq!(message::decode(&message::encode(hello)), Some(hello));
+/// assert_eq!(message::decode(b"\xff\xff"), None);
+/// ```
+#[must_use]
+pub fn decode(bytes: &[u8]) -> Option<Body> {
+    Packet::decode(bytes).ok()?.body
+}
--- /dev/null
+++ b/src/node/stop.rs
@@ -0,0 +1,52 @@
+//! Signals that end or reload a node.
+
+use std::path::PathBuf;
+
+use log::{info, warn};
+use snafu::ResultExt;
+use tokio::signal::unix::{self, Signal, SignalKind};
+
+use crate::node::settings::Settings;
+use crate::node::{Error, SignalSnafu};
+
+/// Signals that a node reacts to.
+#[derive(Debug)]
+pub struct Signals {
+    file: PathBuf,
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers; without one, SIGHUP would end the process.
+    ///
+    /// # Errors
+    /// Fails when signals can't be received.
+    pub fn install(file: PathBuf) -> Result<Self, Error> {
+        Ok(Self {
+            file,
+            terminate: unix::signal(SignalKind::terminate()).context(SignalSnafu)?,
+            interrupt: unix::signal(SignalKind::interrupt()).context(SignalSnafu)?,
+            reload: unix::signal(SignalKind::hangup()).context(SignalSnafu)?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT. SIGHUP only checks the settings: what may change
+    /// while the process runs comes from the store.
+    pub async fn stop(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.reload.recv() => match Settings::load(&self.file) {
+                    Ok(_) => info!("settings checked, unchanged until the next start"),
+                    Err(e) => {
+                        let reason = e.to_string();
+                        warn!(reason = reason.as_str(); "settings are invalid, kept the old ones");
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/place.rs
@@ -0,0 +1,6 @@
+//! Decisions on load: which target a request goes to, what a target takes, and what a
+//! caller is told when there is no place. Nothing here does input or output.
+
+pub mod ledger;
+pub mod patience;
+pub mod pool;
--- /dev/null
+++ b/src/platform/decode.rs
@@ -0,0 +1,285 @@
+//! Objects of the platform's store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::fleet::{
+    Account, Class, Config, Engine, Key, Limits, Phase, Release, Route, Service, Share, Target,
+};
+
+/// Configuration object as the operator writes it.
+#[derive(Deserialize)]
+struct WireConfig {
+    version: u64,
+    routes: Vec<WireRoute>,
+    services: Vec<WireService>,
+    limits: Option<WireLimits>,
+    /// The platform's word for client accounts.
+    #[serde(default)]
+    tenants: Vec<WireAccount>,
+}
+
+#[derive(Deserialize)]
+struct WireRoute {
+    name: String,
+    host: String,
+    path_prefix: String,
+    /// `safe`, `unsafe` or `streaming`.
+    kind: String,
+    timeout_ms: f64,
+    target_latency_ms: Option<f64>,
+    priority: Option<u8>,
+    service: Option<String>,
+    traffic_split: Option<Vec<WireShare>>,
+    max_attempts: Option<u32>,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    stream_resume: bool,
+}
+
+#[derive(Deserialize)]
+struct WireShare {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct WireService {
+    name: String,
+    max_connections: Option<u32>,
+    engine: Option<WireEngine>,
+    origin: Option<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+struct WireEngine {
+    slots: u32,
+    step_ms: f64,
+    per_seq_ms: f64,
+    read_per_s: f64,
+    usual: Option<WireUsual>,
+    layers: Option<u32>,
+    chunks: Option<u32>,
+    #[serde(default)]
+    models: Vec<WireModel>,
+}
+
+#[derive(Deserialize)]
+struct WireModel {
+    warm_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct WireUsual {
+    prompt: f64,
+    answer: f64,
+}
+
+#[derive(Deserialize)]
+struct WireLimits {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: f64,
+    idle_timeout_ms: f64,
+}
+
+#[derive(Deserialize)]
+struct WireAccount {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<u8>,
+}
+
+/// Entry of a target in the list of servers.
+#[derive(Deserialize)]
+struct WireTarget {
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    slots: u32,
+    state: String,
+    /// Start of this lifetime; also present for targets that restarted under their id.
+    born: Option<u64>,
+    #[serde(default)]
+    models: Vec<WireHeld>,
+    layers: Option<WireLayers>,
+}
+
+#[derive(Deserialize)]
+struct WireHeld {
+    version: u64,
+}
+
+/// Layers that a target holds; `to` is exclusive.
+#[derive(Deserialize)]
+struct WireLayers {
+    from: u32,
+    to: u32,
+    version: u64,
+}
+
+/// An object that is not what its kind demands.
+pub type Malformed = serde_json::Error;
+
+fn millis(ms: f64) -> Duration {
+    // Negative, infinite and undefined values can't be durations; none is valid here.
+    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_default()
+}
+
+/// Configuration from the `spec` of its object.
+///
+/// # Errors
+/// Fails when a required field is missing or has another type.
+pub fn config(spec: Value) -> Result<Config, Malformed> {
+    let wire: WireConfig = serde_json::from_value(spec)?;
+    let mut routes: Vec<Route> = wire.routes.into_iter().map(route).collect();
+    routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+    let mut services: Vec<Service> = wire.services.into_iter().map(service).collect();
+    services.sort_by(|a, b| a.name.cmp(&b.name));
+    let (mut keys, mut accounts) = (Vec::new(), Vec::new());
+    for (position, account) in wire.tenants.into_iter().enumerate() {
+        keys.extend(account.api_keys.into_iter().map(|text| Key {
+            text,
+            account: position,
+        }));
+        accounts.push(Account {
+            name: account.name,
+            priority: account.priority,
+        });
+    }
+    keys.sort_by(|a, b| a.text.cmp(&b.text));
+    Ok(Config {
+        version: wire.version,
+        routes,
+        services,
+        keys,
+        accounts,
+        limits: wire.limits.map(limits).unwrap_or_default(),
+    })
+}
+
+fn limits(wire: WireLimits) -> Limits {
+    Limits {
+        head: wire.max_header_bytes,
+        body: wire.max_body_bytes,
+        header: millis(wire.header_timeout_ms),
+        idle: millis(wire.idle_timeout_ms),
+    }
+}
+
+fn route(wire: WireRoute) -> Route {
+    let class = match wire.kind.as_str() {
+        "safe" => Class::Idempotent,
+        "streaming" => Class::Stream {
+            resumable: wire.stream_resume,
+        },
+        // An unknown kind may not be repeated.
+        _ => Class::AtMostOnce,
+    };
+    let timeout = millis(wire.timeout_ms);
+    let whole = wire.service.map(|service| Share { service, weight: 1 });
+    let split = wire.traffic_split.map(|parts| {
+        parts
+            .into_iter()
+            .map(|p| Share {
+                service: p.service,
+                weight: weight(p.weight),
+            })
+            .collect()
+    });
+    Route {
+        name: wire.name,
+        host: wire.host,
+        prefix: wire.path_prefix,
+        class,
+        timeout,
+        objective: wire.target_latency_ms.map_or(timeout, millis),
+        priority: wire.priority.unwrap_or(u8::MAX),
+        attempts: wire.max_attempts.unwrap_or(1),
+        public: wire.public,
+        split: split.unwrap_or_else(|| whole.into_iter().collect()),
+    }
+}
+
+/// Weights may be fractions; a thousandth is the finest that counts.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn weight(wire: f64) -> u32 {
+    (wire.clamp(0.0, 1e6) * 1000.0) as u32
+}
+
+fn service(wire: WireService) -> Service {
+    let engine = wire.engine.map(|e| Engine {
+        slots: e.slots,
+        step: millis(e.step_ms),
+        sequence: millis(e.per_seq_ms),
+        prefill: e.read_per_s,
+        prompt: e.usual.as_ref().map_or(0.0, |u| u.prompt),
+        answer: e.usual.as_ref().map_or(0.0, |u| u.answer),
+        layers: e.layers.unwrap_or(1),
+        chunks: e.chunks.unwrap_or(0),
+        warm: millis(
+            e.models
+                .first()
+                .and_then(|m| m.warm_s)
+                .map_or(0.0, |s| s * 1000.0),
+        ),
+    });
+    Service {
+        name: wire.name,
+        connections: wire.max_connections.unwrap_or(u32::MAX),
+        engine,
+        origin: wire.origin,
+    }
+}
+
+/// Target from its entry, named `id`.
+///
+/// # Errors
+/// Fails when a field is missing, has another type or a state is unknown: such an
+/// entry names no target to use.
+pub fn target(id: &str, spec: Value) -> Result<Target, Malformed> {
+    let wire: WireTarget = serde_json::from_value(spec)?;
+    let phase = match wire.state.as_str() {
+        "ready" => Phase::Ready,
+        "draining" => Phase::Draining,
+        other => {
+            let reason = format!("unknown state {other:?}");
+            return Err(serde::de::Error::custom(reason));
+        }
+    };
+    let complete = wire.layers.as_ref().is_none_or(|l| l.from == 0 && l.to > 0);
+    let layered = wire.layers.as_ref().map(|l| l.version);
+    let held = layered.or_else(|| wire.models.first().map(|m| m.version));
+    Ok(Target {
+        id: id.to_owned(),
+        service: wire.service,
+        address: wire.address,
+        centre: wire.zone,
+        slots: wire.slots,
+        phase,
+        born: wire.born.unwrap_or(0),
+        weights: held.filter(|v| complete && *v > 0),
+    })
+}
+
+/// Release from the `spec` of its object.
+///
+/// # Errors
+/// Fails when a field is missing or has another type.
+pub fn release(spec: Value) -> Result<Release, Malformed> {
+    #[derive(Deserialize)]
+    struct WireRelease {
+        model: String,
+        version: u64,
+    }
+    let wire: WireRelease = serde_json::from_value(spec)?;
+    Ok(Release {
+        model: wire.model,
+        version: wire.version,
+    })
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,10 +8,12 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
+use crate::node::settings::Role;
 use crate::resource::vm;
 
 /// Why settings can't be used.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// The file can't be read.
     #[snafu(display("can't read {}: {source}", path.display()))]
@@ -335,3 +337,17 @@
         )
     }
 }
+
+/// Role of a node on the users' platform that a settings file names; `None` for the
+/// roles of this module's [`Settings`] and for files that these reject.
+///
+/// # Errors
+/// Fails when the file can't be read.
+pub fn role(path: &Path) -> Result<Option<Role>, Error> {
+    #[derive(Deserialize)]
+    struct Named {
+        role: Role,
+    }
+    let text = fs::read_to_string(path).context(ReadSnafu { path })?;
+    Ok(toml::from_str::<Named>(&text).ok().map(|n| n.role))
+}
