Bring weights to targets through hosts and grant their places by datagram

Hosts beside engines exchange verified chunks: one home for each chunk fetches it from the origin, one importer for each region carries it over, the others get it inside their region. A ledger at each host grants places to gateways.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -173,6 +173,8 @@
     pub prompt: f64,
     /// Mean answer length, tokens.
     pub answer: f64,
+    /// Models that the engine can load.
+    pub models: Vec<String>,
     /// Layers of the model.
     pub layers: u32,
     /// Chunks that the weights consist of.
@@ -196,6 +198,7 @@
     ///     prefill: 20_000.0,
     ///     prompt: 1_000.0,
     ///     answer: 100.0,
+///     models: Vec::new(),
     ///     layers: 16,
     ///     chunks: 64,
     ///     warm: Duration::from_millis(300),
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,30 +1,298 @@
 //! Process beside a target: keeps its weights current and grants its places.
 
-use log::info;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::{info, warn};
+use parking_lot::Mutex;
+use snafu::{OptionExt, ResultExt};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
+use tokio::time;
 
 use crate::clock::Clock;
+use crate::digest::Digest;
+use crate::fleet::Phase;
 use crate::fleet::catalog::Topic;
 use crate::node::follow::{self, Contact};
-use crate::node::settings::Settings;
+use crate::node::settings::{Bounds, Settings};
 use crate::node::stop::Signals;
-use crate::node::{Board, Error};
+use crate::node::{Board, Error, ListenSnafu, MissingSnafu};
+use crate::place::ledger::Ledger;
+use crate::platform::engine::{self, Report};
+
+mod chunks;
+mod fetch;
+mod places;
+pub mod plan;
+mod serve;
+mod switch;
+
+/// Time between two reports of the target.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for a report of the target on this VM.
+const REPORT_LIMIT: Duration = Duration::from_millis(400);
+/// Time that a load takes beyond the end of the running requests, at most.
+const LOAD_LIMIT: Duration = Duration::from_secs(12);
+/// Time for reading a staged chunk for a peer.
+const STAGE_LIMIT: Duration = Duration::from_millis(1_000);
+/// Part of the bound for new weights that is kept as a margin, so that a request that
+/// waits at the target still begins in time.
+const DUE_MARGIN: Duration = Duration::from_millis(700);
+/// Slots of a target before the configuration is known.
+const UNKNOWN_SLOTS: u32 = 1;
+/// Time that a request holds a slot before the configuration is known.
+const UNKNOWN_HOLD: Duration = Duration::from_secs(1);
+
+/// State of a host.
+#[derive(Debug)]
+pub struct Host<C: Clock> {
+    clock: C,
+    board: Board,
+    service: String,
+    region: String,
+    target: SocketAddr,
+    /// Port of all hosts.
+    port: u16,
+    bounds: Bounds,
+    socket: UdpSocket,
+    ledger: Mutex<Ledger>,
+    listeners: Mutex<Vec<places::Listener>>,
+    chunks: chunks::Chunks,
+    fetching: tokio::sync::Mutex<()>,
+    reporter: tokio::sync::Mutex<engine::Reporter>,
+    /// Newest report of the target.
+    engine: watch::Sender<Report>,
+    is_reachable: watch::Sender<bool>,
+    is_switching: AtomicBool,
+    numbers: AtomicU64,
+    regions: Vec<(String, String)>,
+}
 
 /// Runs a host until it is told to stop.
 ///
 /// # Errors
 /// Fails when an address is taken or a setting is missing; nothing is started then.
-pub async fn run<C: Clock>(settings: Settings, mut signals: Signals, clock: C) -> Result<(), Error> {
-    let board = Board::default();
+pub async fn run<C: Clock>(
+    settings: Settings,
+    mut signals: Signals,
+    clock: C,
+) -> Result<(), Error> {
+    let target = settings.target.clone();
+    let target = target.context(MissingSnafu { key: "target" })?;
+    let address = settings.messages();
+    let socket = UdpSocket::bind(address).await;
+    let socket = socket.context(ListenSnafu { address })?;
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.context(ListenSnafu { address })?;
+    let host = Arc::new(Host {
+        board: Board::default(),
+        service: target.service,
+        region: settings.region.clone(),
+        target: target.address,
+        port: settings.ports[0],
+        bounds: settings.bounds.clone(),
+        socket,
+        ledger: Mutex::new(Ledger::new(UNKNOWN_SLOTS, UNKNOWN_HOLD)),
+        listeners: Mutex::default(),
+        chunks: chunks::Chunks::default(),
+        fetching: tokio::sync::Mutex::default(),
+        reporter: tokio::sync::Mutex::new(engine::Reporter::new(target.address)),
+        engine: watch::Sender::default(),
+        is_reachable: watch::Sender::default(),
+        is_switching: AtomicBool::new(false),
+        numbers: AtomicU64::new(0),
+        regions: settings.regions(),
+        clock,
+    });
     for topic in Topic::ALL {
         tokio::spawn(follow::run(
             topic,
             settings.store,
-            board.clone(),
+            host.board.clone(),
             Contact::default(),
-            clock.clone(),
+            host.clock.clone(),
         ));
     }
-    info!(vm = settings.vm.as_str(), role = "host"; "started");
+    tokio::spawn(host.clone().size_ledger());
+    tokio::spawn(host.clone().watch_target());
+    tokio::spawn(host.clone().hear_gateways());
+    tokio::spawn(host.clone().keep_current());
+    tokio::spawn(serve::run(listener, host.clone()));
+    info!(vm = settings.vm.as_str(), role = "host", target:% = target.address; "started");
     signals.stop().await;
+    info!(vm = settings.vm.as_str(); "stopped");
     Ok(())
 }
+
+impl<C: Clock> Host<C> {
+    /// Name by which hosts sort each other.
+    fn name(&self) -> String {
+        self.target.to_string()
+    }
+
+    fn number(&self) -> u64 {
+        self.numbers.fetch_add(1, Ordering::Relaxed)
+    }
+
+    fn reachable(&self) -> bool {
+        *self.is_reachable.borrow()
+    }
+
+    /// Region of a data centre; unknown ones count as regions of their own.
+    fn region<'a>(&'a self, centre: &'a str) -> &'a str {
+        let found = self.regions.binary_search_by(|(c, _)| c.as_str().cmp(centre));
+        found.map_or(centre, |i| &self.regions[i].1)
+    }
+
+    /// Hosts of this service, this one included.
+    fn peers(&self, version: u64) -> Vec<plan::Peer> {
+        let view = self.board.view();
+        let same = view.targets.iter().filter(|t| t.value.service == self.service);
+        let mut peers: Vec<plan::Peer> = same
+            .map(|t| plan::Peer {
+                name: t.value.address.to_string(),
+                region: self.region(&t.value.centre).to_owned(),
+                address: SocketAddr::new(t.value.address.ip(), self.port),
+                holds: t.value.weights == Some(version),
+            })
+            .collect();
+        if peers.iter().all(|p| p.name != self.name()) {
+            peers.push(plan::Peer {
+                name: self.name(),
+                region: self.region.clone(),
+                address: SocketAddr::new(self.target.ip(), self.port),
+                holds: false,
+            });
+        }
+        peers.sort_by(|a, b| a.name.cmp(&b.name));
+        peers.dedup_by(|a, b| a.name == b.name);
+        peers
+    }
+
+    /// Address of the origin of weights.
+    fn origin(&self) -> Option<SocketAddr> {
+        let view = self.board.view();
+        let config = view.config.as_ref()?;
+        config.services.iter().find_map(|s| s.origin)
+    }
+
+    /// Takes slots and times of the engine from the configuration.
+    async fn size_ledger(self: Arc<Self>) {
+        let mut views = self.board.subscribe();
+        let mut known = None;
+        loop {
+            let view = views.borrow_and_update().clone();
+            let service = view.config.as_ref().and_then(|c| c.service(&self.service));
+            let engine = service.and_then(|s| s.engine.clone());
+            if engine != known
+                && let Some(engine) = &engine
+            {
+                let mut ledger = self.ledger.lock();
+                if known.is_none() {
+                    let is_open = ledger.is_open();
+                    *ledger = Ledger::new(engine.slots, engine.hold());
+                    ledger.set_open(is_open);
+                } else {
+                    ledger.resize(engine.slots);
+                }
+            }
+            known = engine;
+            if views.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Follows the target's own reports.
+    async fn watch_target(self: Arc<Self>) {
+        let mut ticks = time::interval(REPORT_INTERVAL);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.refresh().await;
+        }
+    }
+
+    /// Takes a report of the target in and decides whether it takes requests.
+    async fn refresh(&self) {
+        let mut reporter = self.reporter.lock().await;
+        let report = reporter.report(REPORT_LIMIT).await;
+        drop(reporter);
+        let report = match report {
+            Ok(report) => report,
+            Err(e) => {
+                if self.is_reachable.send_replace(false) {
+                    let reason = e.to_string();
+                    warn!(target:% = self.target, reason = reason.as_str(); "target lost");
+                }
+                self.set_open(false, "target lost");
+                self.ledger.lock().reset();
+                return;
+            }
+        };
+        if !self.is_reachable.send_replace(true) {
+            info!(target:% = self.target, weights = report.weights, born = report.born; "target reached");
+        }
+        let now = self.clock.now();
+        let before = self.engine.send_replace(report.clone());
+        let mut ledger = self.ledger.lock();
+        if before.born != report.born {
+            ledger.reset();
+        }
+        ledger.observe(report.running + report.waiting, now);
+        drop(ledger);
+        if before.weights != report.weights {
+            info!(before = before.weights, after = report.weights; "target's weights");
+        }
+        let reason = self.closed(&report);
+        self.set_open(reason.is_none(), reason.unwrap_or("serving"));
+    }
+
+    /// Why the target takes no requests, if it doesn't.
+    fn closed(&self, report: &Report) -> Option<&'static str> {
+        if report.busy || self.is_switching.load(Ordering::Relaxed) {
+            return Some("switching");
+        }
+        let Some(weights) = report.weights else {
+            return Some("no weights");
+        };
+        let view = self.board.view();
+        let registered = view.targets.iter().find(|t| t.value.address == self.target);
+        if registered.is_some_and(|t| t.value.phase == Phase::Draining) {
+            return Some("draining");
+        }
+        let bound = self.bounds.weights().saturating_sub(DUE_MARGIN);
+        let now = self.clock.now();
+        let due = view.releases.iter().map(|r| r.value.due(bound, now)).max();
+        (weights < due.unwrap_or(0)).then_some("weights overdue")
+    }
+
+    /// Waits until the target serves `version`.
+    async fn await_load(&self, version: u64) {
+        let mut reports = self.engine.subscribe();
+        let loaded = reports.wait_for(|r| !r.busy && r.weights == Some(version));
+        if time::timeout(LOAD_LIMIT, loaded).await.is_err() {
+            warn!(version; "load not finished");
+        }
+    }
+
+    /// A chunk from the target's staging area, if it lies there unharmed.
+    async fn staged(&self, model: &str, version: u64, index: usize) -> Option<Bytes> {
+        if self.engine.borrow().weights != Some(version) {
+            return None;
+        }
+        let manifest = self.original(model, version).await?;
+        let read = engine::staged(self.target, model, index, STAGE_LIMIT).await;
+        let data = read.ok()?;
+        let sound = manifest.digests.get(index) == Some(&Digest::of(&data));
+        if !sound {
+            return None;
+        }
+        self.chunks.insert(&manifest, index, &data);
+        Some(data)
+    }
+}
--- /dev/null
+++ b/src/host/chunks.rs
@@ -0,0 +1,114 @@
+//! Verified chunks that this process holds in memory, for its target and for its peers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
+
+use crate::digest::Digest;
+use crate::platform::engine::Manifest;
+
+/// Versions that are kept: the one in use, the next, and one that peers may still need.
+const MAX_VERSIONS: usize = 3;
+
+/// Chunks by version.
+#[derive(Debug, Default)]
+pub struct Chunks {
+    versions: Mutex<Vec<Version>>,
+    changed: Notify,
+}
+
+#[derive(Debug)]
+struct Version {
+    manifest: Arc<Manifest>,
+    data: Vec<Option<Bytes>>,
+}
+
+impl Chunks {
+    /// Manifest of a version, if it is known.
+    #[must_use]
+    pub fn manifest(&self, model: &str, version: u64) -> Option<Arc<Manifest>> {
+        let versions = self.versions.lock();
+        let found = versions.iter().find(|v| is(v, model, version));
+        found.map(|v| v.manifest.clone())
+    }
+
+    /// Takes a manifest in. Chunks with the same digest are taken from other versions.
+    pub fn learn(&self, manifest: Manifest) -> Arc<Manifest> {
+        let mut versions = self.versions.lock();
+        let known = versions
+            .iter()
+            .find(|v| is(v, &manifest.model, manifest.version));
+        if let Some(known) = known {
+            return known.manifest.clone();
+        }
+        let find = |digest: &Digest| {
+            versions.iter().find_map(|v| {
+                let at = v.manifest.digests.iter().position(|d| d == digest)?;
+                v.data[at].clone()
+            })
+        };
+        let data = manifest.digests.iter().map(find).collect();
+        let manifest = Arc::new(manifest);
+        versions.push(Version {
+            manifest: manifest.clone(),
+            data,
+        });
+        versions.sort_by_key(|v| v.manifest.version);
+        if versions.len() > MAX_VERSIONS {
+            versions.remove(0);
+        }
+        drop(versions);
+        self.changed.notify_waiters();
+        manifest
+    }
+
+    /// Takes a chunk in if it matches its digest; returns whether it did.
+    pub fn insert(&self, manifest: &Manifest, index: usize, data: &Bytes) -> bool {
+        let expected = manifest.digests.get(index);
+        if expected != Some(&Digest::of(data)) {
+            return false;
+        }
+        let mut versions = self.versions.lock();
+        let found = versions
+            .iter_mut()
+            .find(|v| is(v, &manifest.model, manifest.version));
+        if let Some(version) = found {
+            version.data[index] = Some(data.clone());
+        }
+        drop(versions);
+        self.changed.notify_waiters();
+        true
+    }
+
+    /// A chunk, if it is held.
+    #[must_use]
+    pub fn get(&self, model: &str, version: u64, index: usize) -> Option<Bytes> {
+        let versions = self.versions.lock();
+        let found = versions.iter().find(|v| is(v, model, version))?;
+        found.data.get(index)?.clone()
+    }
+
+    /// Positions of the chunks of a version that are missing.
+    #[must_use]
+    pub fn missing(&self, manifest: &Manifest) -> Vec<usize> {
+        let versions = self.versions.lock();
+        let found = versions
+            .iter()
+            .find(|v| is(v, &manifest.model, manifest.version));
+        let all = 0..manifest.digests.len();
+        all.filter(|i| found.is_none_or(|v| v.data[*i].is_none()))
+            .collect()
+    }
+
+    /// Waits until something is taken in.
+    pub fn changed(&self) -> Notified<'_> {
+        self.changed.notified()
+    }
+}
+
+fn is(version: &Version, model: &str, number: u64) -> bool {
+    version.manifest.model == model && version.manifest.version == number
+}
--- /dev/null
+++ b/src/host/serve.rs
@@ -0,0 +1,137 @@
+//! Hands manifests and chunks out to peers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use log::warn;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time;
+
+use crate::clock::Clock;
+use crate::host::Host;
+use crate::net;
+
+/// Time that a peer waits for a chunk that is on its way here.
+const ARRIVAL_WAIT: Duration = Duration::from_millis(1_000);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a peer asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Item {
+    Manifest,
+    Chunk(usize),
+}
+
+/// Path at which peers hand out a manifest.
+#[must_use]
+pub fn manifest_path(model: &str, version: u64) -> String {
+    format!("/weights/{model}/{version}/manifest")
+}
+
+/// Path at which peers hand out a chunk.
+#[must_use]
+pub fn chunk_path(model: &str, version: u64, index: usize) -> String {
+    format!("/weights/{model}/{version}/{index}")
+}
+
+fn parse(path: &str) -> Option<(&str, u64, Item)> {
+    let mut parts = path.strip_prefix("/weights/")?.split('/');
+    let (model, version, item) = (parts.next()?, parts.next()?, parts.next()?);
+    let item = match item {
+        "manifest" => Item::Manifest,
+        index => Item::Chunk(index.parse().ok()?),
+    };
+    Some((model, version.parse().ok()?, item))
+}
+
+/// Serves peers until the process ends.
+pub async fn run<C: Clock>(listener: TcpListener, host: Arc<Host<C>>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(connection(stream, host.clone()));
+            }
+            Err(e) => {
+                let reason = e.to_string();
+                warn!(reason = reason.as_str(); "can't accept peers");
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection<C: Clock>(stream: TcpStream, host: Arc<Host<C>>) {
+    if let Err(e) = net::prepare(&stream) {
+        let reason = e.to_string();
+        warn!(reason = reason.as_str(); "peer's connection refused");
+        return;
+    }
+    let service = service_fn(move |request: Request<Incoming>| {
+        let host = host.clone();
+        async move { Ok::<_, Infallible>(answer(&host, request.uri().path()).await) }
+    });
+    // A peer whose connection breaks asks again elsewhere.
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer<C: Clock>(host: &Arc<Host<C>>, path: &str) -> Response<Full<Bytes>> {
+    let found = match parse(path) {
+        Some((model, version, Item::Manifest)) => manifest(host, model, version).await,
+        Some((model, version, Item::Chunk(index))) => chunk(host, model, version, index).await,
+        None => None,
+    };
+    let mut response = Response::new(Full::default());
+    match found {
+        Some(body) => *response.body_mut() = Full::new(body),
+        None => *response.status_mut() = StatusCode::NOT_FOUND,
+    }
+    response
+}
+
+async fn manifest<C: Clock>(host: &Arc<Host<C>>, model: &str, version: u64) -> Option<Bytes> {
+    let found = time::timeout(ARRIVAL_WAIT, host.original(model, version)).await;
+    let manifest = found.ok()??;
+    match serde_json::to_vec(&*manifest) {
+        Ok(body) => Some(body.into()),
+        Err(e) => {
+            let reason = e.to_string();
+            warn!(reason = reason.as_str(); "manifest can't be encoded");
+            None
+        }
+    }
+}
+
+async fn chunk<C: Clock>(
+    host: &Arc<Host<C>>,
+    model: &str,
+    version: u64,
+    index: usize,
+) -> Option<Bytes> {
+    if let Some(data) = host.chunks.get(model, version, index) {
+        return Some(data);
+    }
+    if let Some(data) = host.staged(model, version, index).await {
+        return Some(data);
+    }
+    let arrival = async {
+        loop {
+            let changed = host.chunks.changed();
+            if let Some(data) = host.chunks.get(model, version, index) {
+                return data;
+            }
+            changed.await;
+        }
+    };
+    time::timeout(ARRIVAL_WAIT, arrival).await.ok()
+}
--- /dev/null
+++ b/src/host/switch.rs
@@ -0,0 +1,185 @@
+//! Brings the target to the version that was named.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use log::{info, warn};
+use tokio::time;
+
+use crate::clock::Clock;
+use crate::digest::Digest;
+use crate::host::{Host, plan};
+use crate::platform::engine::{self, Manifest, Ordered};
+
+/// Time between two looks at what is to be done.
+const INTERVAL: Duration = Duration::from_millis(50);
+/// Time for storing or reading a chunk in the staging area on this VM.
+const STAGE_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time for the answer to an order.
+const ORDER_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time for requests that were granted just before the target closed to arrive there.
+const ARRIVAL: Duration = Duration::from_millis(15);
+/// Version that a model has before any is named.
+const FIRST_VERSION: u64 = 1;
+
+/// A version that the target is to serve.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Wanted {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+    /// When it was named; `None` for the first version.
+    pub named: Option<Instant>,
+}
+
+impl<C: Clock> Host<C> {
+    /// Version that the target is to serve next, if it serves another.
+    fn wanted(&self) -> Option<Wanted> {
+        let view = self.board.view();
+        let service = view.config.as_ref()?.service(&self.service)?.clone();
+        let model = service.engine?.models.into_iter().next()?;
+        let now = self.engine.borrow().weights.unwrap_or(0);
+        let named = view.named(&model);
+        let history = named.map(|n| n.history.as_slice()).unwrap_or_default();
+        let mut open = history.iter().filter(|(v, _)| *v > now).copied();
+        let Some((mut version, mut since)) = open.next() else {
+            let first = now < FIRST_VERSION;
+            return first.then_some(Wanted {
+                model,
+                version: FIRST_VERSION,
+                named: None,
+            });
+        };
+        let bound = self.bounds.weights();
+        // A target without weights serves nothing meanwhile, so it takes the newest.
+        for (newer, at) in open {
+            if now == 0 || plan::skips(since, at, bound) {
+                (version, since) = (newer, at);
+            }
+        }
+        Some(Wanted {
+            model,
+            version,
+            named: Some(since),
+        })
+    }
+
+    /// Whether another version is wanted by now.
+    pub(super) fn superseded(&self, model: &str, version: u64) -> bool {
+        let newer = |w: Wanted| w.model != model || w.version > version;
+        self.wanted().is_some_and(newer)
+    }
+
+    /// Keeps the target at the wanted version until the process ends.
+    pub(super) async fn keep_current(self: Arc<Self>) {
+        let mut ticks = time::interval(INTERVAL);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            if !self.reachable() {
+                continue;
+            }
+            if let Some(wanted) = self.wanted() {
+                self.bring(&wanted).await;
+            }
+        }
+    }
+
+    /// Fetches, stages and loads one version.
+    async fn bring(self: &Arc<Self>, wanted: &Wanted) {
+        let Wanted { model, version, .. } = wanted;
+        let Some(manifest) = self.manifest(model, *version).await else {
+            return;
+        };
+        if !self.fetch(&manifest).await || self.superseded(model, *version) {
+            return;
+        }
+        if !self.stage(&manifest).await {
+            return;
+        }
+        if let Some(named) = wanted.named
+            && self.engine.borrow().weights.is_some()
+        {
+            let rank = plan::rank(&self.name(), &self.peers(*version));
+            let at = plan::switch_at(named, rank);
+            let wait = at.saturating_duration_since(self.clock.now());
+            time::sleep(wait).await;
+            if self.superseded(model, *version) {
+                info!(model = model.as_str(), version; "version skipped");
+                return;
+            }
+        }
+        if self.verify(&manifest).await {
+            self.order(&manifest).await;
+        }
+    }
+
+    /// Puts the chunks into the target's staging area where they are not there yet.
+    async fn stage(&self, manifest: &Manifest) -> bool {
+        for index in 0..manifest.digests.len() {
+            let Some(data) = self.chunks.get(&manifest.model, manifest.version, index) else {
+                return false;
+            };
+            if !self.put(manifest, index, data).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn put(&self, manifest: &Manifest, index: usize, data: Bytes) -> bool {
+        let put = engine::stage(self.target, &manifest.model, index, data, STAGE_LIMIT);
+        match put.await {
+            Ok(()) => true,
+            Err(e) => {
+                let reason = e.to_string();
+                warn!(version = manifest.version, index, reason = reason.as_str(); "chunk not staged");
+                false
+            }
+        }
+    }
+
+    /// Reads the staged chunks back and replaces those that turned bad.
+    async fn verify(&self, manifest: &Manifest) -> bool {
+        for (index, digest) in manifest.digests.iter().enumerate() {
+            let read = engine::staged(self.target, &manifest.model, index, STAGE_LIMIT).await;
+            if read.is_ok_and(|data| Digest::of(&data) == *digest) {
+                continue;
+            }
+            warn!(version = manifest.version, index; "staged chunk replaced");
+            let data = self.chunks.get(&manifest.model, manifest.version, index);
+            let Some(data) = data else { return false };
+            if !self.put(manifest, index, data).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Orders the target to load what is staged.
+    async fn order(&self, manifest: &Manifest) {
+        let (model, version) = (manifest.model.as_str(), manifest.version);
+        self.is_switching.store(true, Ordering::Relaxed);
+        self.set_open(false, "switching");
+        time::sleep(ARRIVAL).await;
+        let accepted = self.engine.borrow().orders;
+        match engine::load(self.target, model, version, accepted, ORDER_LIMIT).await {
+            Ok(ordered) => {
+                info!(model, version, accepted, outcome:? = ordered; "order");
+                if ordered == Ordered::Begun {
+                    self.await_load(version).await;
+                }
+            }
+            // The order may have been taken; the next report shows it.
+            Err(e) => {
+                let reason = e.to_string();
+                warn!(model, version, accepted, reason = reason.as_str(); "order without an answer");
+            }
+        }
+        self.is_switching.store(false, Ordering::Relaxed);
+        self.refresh().await;
+    }
+}
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -16,7 +16,10 @@
 use crate::platform::store::{Client, Error, Event, List, Object};
 
 /// Longest wait of a watch; silent connections are noticed earlier by the kernel's probes.
-const WATCH_WAIT: Duration = Duration::from_secs(15);
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// Pause after a change of targets: changes come in groups, and each call costs. Well
+/// within the time after which a leaving target gets no more requests.
+const GROUP_PAUSE: Duration = Duration::from_millis(400);
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
@@ -57,6 +60,7 @@
         topic,
         board,
         clock,
+        has_changed: false,
         rejected: BTreeSet::new(),
     };
     let mut pause = FIRST_PAUSE;
@@ -94,6 +98,8 @@
     topic: Topic,
     board: Board,
     clock: C,
+    /// Whether the last watch brought changes.
+    has_changed: bool,
     /// Objects that were refused, so that each is logged once.
     rejected: BTreeSet<(String, u64)>,
 }
@@ -107,7 +113,11 @@
             self.replace(list);
             return Ok(revision);
         };
+        if self.topic == Topic::Targets && self.has_changed {
+            time::sleep(GROUP_PAUSE).await;
+        }
         let changes = client.watch(self.topic, revision, WATCH_WAIT).await?;
+        self.has_changed = !changes.events.is_empty();
         for event in changes.events {
             self.apply(event, Duration::ZERO);
         }
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a node on the users' platform, one TOML file per process.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
@@ -32,6 +33,9 @@
     pub data_center: String,
     /// Region of the data centre.
     pub region: String,
+    /// Regions by data centre.
+    #[serde(default)]
+    pub centers: BTreeMap<String, String>,
     /// Address of the VM.
     pub address: IpAddr,
     /// First and last port for messages between nodes; the same on all VMs.
@@ -125,6 +129,12 @@
         }
     }
 
+    /// Data centres and their regions, sorted.
+    #[must_use]
+    pub fn regions(&self) -> Vec<(String, String)> {
+        self.centers.clone().into_iter().collect()
+    }
+
     /// Address for messages of other nodes.
     #[must_use]
     pub fn messages(&self) -> SocketAddr {
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -70,6 +70,7 @@
 
 #[derive(Deserialize)]
 struct WireModel {
+    name: String,
     warm_s: Option<f64>,
 }
 
@@ -220,6 +221,7 @@
         prefill: e.read_per_s,
         prompt: e.usual.as_ref().map_or(0.0, |u| u.prompt),
         answer: e.usual.as_ref().map_or(0.0, |u| u.answer),
+        models: e.models.iter().map(|m| m.name.clone()).collect(),
         layers: e.layers.unwrap_or(1),
         chunks: e.chunks.unwrap_or(0),
         warm: millis(
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -125,13 +125,7 @@
     fencing_token: u64,
 }
 
-async fn call(
-    address: SocketAddr,
-    method: Method,
-    path: &str,
-    body: Bytes,
-    limit: Duration,
-) -> Result<http::Response<Bytes>, Error> {
+fn message(address: SocketAddr, method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().unwrap_or_default();
@@ -139,6 +133,17 @@
     if let Ok(host) = host {
         request.headers_mut().insert(header::HOST, host);
     }
+    request
+}
+
+async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+    limit: Duration,
+) -> Result<http::Response<Bytes>, Error> {
+    let request = message(address, method, path, body);
     net::once(address, request, limit, MAX_ANSWER)
         .await
         .context(NetSnafu)
@@ -153,18 +158,55 @@
     Ok(answer.into_body())
 }
 
-/// State of the engine at `address`.
-///
-/// # Errors
-/// Fails when the engine does not answer within `limit`.
-pub async fn report(address: SocketAddr, limit: Duration) -> Result<Report, Error> {
-    let path = "/report";
-    let body = get(address, path, limit).await?;
-    let wire: WireReport = serde_json::from_slice(&body).context(MalformedSnafu { path })?;
+/// Connection for the reports of one engine.
+#[derive(Debug)]
+pub struct Reporter {
+    address: SocketAddr,
+    connection: Option<net::Connection>,
+}
+
+impl Reporter {
+    /// Reporter of the engine at `address`; connects when first used.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            connection: None,
+        }
+    }
+
+    /// State of the engine.
+    ///
+    /// # Errors
+    /// Fails when the engine does not answer within `limit`.
+    pub async fn report(&mut self, limit: Duration) -> Result<Report, Error> {
+        let path = "/report";
+        // The connection comes back only after a complete answer.
+        let open = self.connection.take().filter(net::Connection::is_open);
+        let mut connection = match open {
+            Some(connection) => connection,
+            None => net::Connection::open(self.address, limit)
+                .await
+                .context(NetSnafu)?,
+        };
+        let request = message(self.address, Method::GET, path, Bytes::new());
+        let answer = connection.call(request, limit, MAX_ANSWER).await;
+        let answer = answer.context(NetSnafu)?;
+        let status = answer.status();
+        if status != StatusCode::OK {
+            return RefusedSnafu { path, status }.fail();
+        }
+        self.connection = Some(connection);
+        let wire = serde_json::from_slice(answer.body()).context(MalformedSnafu { path })?;
+        Ok(decode(wire))
+    }
+}
+
+fn decode(wire: WireReport) -> Report {
     let complete = wire.layers.as_ref().is_none_or(|l| l.from == 0 && l.to > 0);
     let layered = wire.layers.as_ref().map(|l| l.version);
     let held = layered.or_else(|| wire.models.first().map(|m| m.version));
-    Ok(Report {
+    Report {
         busy: wire.busy,
         orders: wire.sequence,
         waiting: wire.queued,
@@ -172,7 +214,7 @@
         pace: wire.pace.unwrap_or(1.0),
         weights: held.filter(|v| complete && *v > 0),
         born: wire.born.unwrap_or(0),
-    })
+    }
 }
 
 /// Digests of `version` of `model` from the origin.
