Pace uploads of weights and fetch the next version while a target waits to switch

Cause: chunks sent as fast as the link takes them filled its queue, so that requests and asks for places waited behind them; and hosts that waited for their turn to switch did not bring the next version's chunks to their peers.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -31,7 +31,9 @@
     /// Service of that name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
-        let found = self.services.binary_search_by(|s| s.name.as_str().cmp(name));
+        let found = self
+            .services
+            .binary_search_by(|s| s.name.as_str().cmp(name));
         found.ok().map(|i| &self.services[i])
     }
 
@@ -198,7 +200,7 @@
     ///     prefill: 20_000.0,
     ///     prompt: 1_000.0,
     ///     answer: 100.0,
-///     models: Vec::new(),
+    ///     models: Vec::new(),
     ///     layers: 16,
     ///     chunks: 64,
     ///     warm: Duration::from_millis(300),
--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -145,7 +145,9 @@
     /// Takes a release over if its version is higher. `seen` is when it was named as far
     /// as this process can tell.
     pub fn release(&mut self, name: &str, revision: u64, release: Release, seen: Instant) -> bool {
-        let found = self.releases.binary_search_by(|r| r.name.as_str().cmp(name));
+        let found = self
+            .releases
+            .binary_search_by(|r| r.name.as_str().cmp(name));
         let at = match found {
             Ok(i) if self.releases[i].value.release.version >= release.version => return false,
             Ok(i) => i,
@@ -178,7 +180,9 @@
     /// Newest release of a model.
     #[must_use]
     pub fn named(&self, model: &str) -> Option<&Named> {
-        let found = self.releases.binary_search_by(|r| r.name.as_str().cmp(model));
+        let found = self
+            .releases
+            .binary_search_by(|r| r.name.as_str().cmp(model));
         found.ok().map(|i| &self.releases[i].value)
     }
 
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -162,7 +162,10 @@
             return Read::End;
         };
         loop {
-            let left = self.call.until.saturating_duration_since(self.gateway.clock.now());
+            let left = self
+                .call
+                .until
+                .saturating_duration_since(self.gateway.clock.now());
             let limit = MAX_PAUSE.min(left);
             let frame = match time::timeout(limit, started.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
--- a/src/host.rs
+++ b/src/host.rs
@@ -22,6 +22,7 @@
 use crate::node::stop::Signals;
 use crate::node::{Board, Error, ListenSnafu, MissingSnafu};
 use crate::place::ledger::Ledger;
+use crate::place::pace::Pace;
 use crate::platform::engine::{self, Report};
 
 mod chunks;
@@ -42,6 +43,8 @@
 /// Part of the bound for new weights that is kept as a margin, so that a request that
 /// waits at the target still begins in time.
 const DUE_MARGIN: Duration = Duration::from_millis(700);
+/// Share of the VM's link that uploads to peers use; the rest is for requests.
+const UPLOAD_SHARE: f64 = 0.75;
 /// Slots of a target before the configuration is known.
 const UNKNOWN_SLOTS: u32 = 1;
 /// Time that a request holds a slot before the configuration is known.
@@ -62,6 +65,7 @@
     ledger: Mutex<Ledger>,
     listeners: Mutex<Vec<places::Listener>>,
     chunks: chunks::Chunks,
+    uploads: Mutex<Pace>,
     fetching: tokio::sync::Mutex<()>,
     reporter: tokio::sync::Mutex<engine::Reporter>,
     /// Newest report of the target.
@@ -99,6 +103,7 @@
         ledger: Mutex::new(Ledger::new(UNKNOWN_SLOTS, UNKNOWN_HOLD)),
         listeners: Mutex::default(),
         chunks: chunks::Chunks::default(),
+        uploads: Mutex::new(Pace::new(settings.link_mbps, UPLOAD_SHARE, clock.now())),
         fetching: tokio::sync::Mutex::default(),
         reporter: tokio::sync::Mutex::new(engine::Reporter::new(target.address)),
         engine: watch::Sender::default(),
@@ -120,6 +125,7 @@
     tokio::spawn(host.clone().size_ledger());
     tokio::spawn(host.clone().watch_target());
     tokio::spawn(host.clone().hear_gateways());
+    tokio::spawn(host.clone().gather());
     tokio::spawn(host.clone().keep_current());
     tokio::spawn(serve::run(listener, host.clone()));
     info!(vm = settings.vm.as_str(), role = "host", target:% = target.address; "started");
@@ -144,14 +150,19 @@
 
     /// Region of a data centre; unknown ones count as regions of their own.
     fn region<'a>(&'a self, centre: &'a str) -> &'a str {
-        let found = self.regions.binary_search_by(|(c, _)| c.as_str().cmp(centre));
+        let found = self
+            .regions
+            .binary_search_by(|(c, _)| c.as_str().cmp(centre));
         found.map_or(centre, |i| &self.regions[i].1)
     }
 
     /// Hosts of this service, this one included.
     fn peers(&self, version: u64) -> Vec<plan::Peer> {
         let view = self.board.view();
-        let same = view.targets.iter().filter(|t| t.value.service == self.service);
+        let same = view
+            .targets
+            .iter()
+            .filter(|t| t.value.service == self.service);
         let mut peers: Vec<plan::Peer> = same
             .map(|t| plan::Peer {
                 name: t.value.address.to_string(),
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::stream::{self, Stream};
 use http::{Request, Response, StatusCode};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http_body_util::StreamBody;
+use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -21,6 +22,8 @@
 
 /// Time that a peer waits for a chunk that is on its way here.
 const ARRIVAL_WAIT: Duration = Duration::from_millis(1_000);
+/// Bytes that are sent at once; on the narrowest links of today's sites they take 4 ms.
+const SLICE: usize = 4_096;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -85,20 +88,43 @@
         .await;
 }
 
-async fn answer<C: Clock>(host: &Arc<Host<C>>, path: &str) -> Response<Full<Bytes>> {
+async fn answer<C: Clock>(
+    host: &Arc<Host<C>>,
+    path: &str,
+) -> Response<StreamBody<impl Stream<Item = Result<Frame<Bytes>, Infallible>> + use<C>>> {
     let found = match parse(path) {
         Some((model, version, Item::Manifest)) => manifest(host, model, version).await,
         Some((model, version, Item::Chunk(index))) => chunk(host, model, version, index).await,
         None => None,
     };
-    let mut response = Response::new(Full::default());
-    match found {
-        Some(body) => *response.body_mut() = Full::new(body),
-        None => *response.status_mut() = StatusCode::NOT_FOUND,
-    }
+    let status = match found {
+        Some(_) => StatusCode::OK,
+        None => StatusCode::NOT_FOUND,
+    };
+    let rest = found.unwrap_or_default();
+    let mut response = Response::new(StreamBody::new(slices(host.clone(), rest)));
+    *response.status_mut() = status;
     response
 }
 
+/// Sends data in slices at the pace of the host's uploads, so that the requests of the
+/// target on the same link never wait behind a whole chunk.
+fn slices<C: Clock>(
+    host: Arc<Host<C>>,
+    data: Bytes,
+) -> impl Stream<Item = Result<Frame<Bytes>, Infallible>> {
+    stream::unfold((host, data), |(host, mut rest)| async move {
+        if rest.is_empty() {
+            return None;
+        }
+        let slice = rest.split_to(rest.len().min(SLICE));
+        let now = host.clock.now();
+        let wait = host.uploads.lock().reserve(slice.len(), now);
+        time::sleep(wait).await;
+        Some((Ok(Frame::data(slice)), (host, rest)))
+    })
+}
+
 async fn manifest<C: Clock>(host: &Arc<Host<C>>, model: &str, version: u64) -> Option<Bytes> {
     let found = time::timeout(ARRIVAL_WAIT, host.original(model, version)).await;
     let manifest = found.ok()??;
--- a/src/host/switch.rs
+++ b/src/host/switch.rs
@@ -17,6 +17,8 @@
 const INTERVAL: Duration = Duration::from_millis(50);
 /// Time for storing or reading a chunk in the staging area on this VM.
 const STAGE_LIMIT: Duration = Duration::from_millis(1_000);
+/// Pause after no source had a manifest.
+const MANIFEST_PAUSE: Duration = Duration::from_millis(300);
 /// Time for the answer to an order.
 const ORDER_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time for requests that were granted just before the target closed to arrive there.
@@ -73,6 +75,43 @@
         self.wanted().is_some_and(newer)
     }
 
+    /// Newest version that was named, if the target does not serve it.
+    fn newest(&self) -> Option<Wanted> {
+        let wanted = self.wanted()?;
+        let view = self.board.view();
+        let named = view.named(&wanted.model);
+        let newest = named.and_then(|n| n.history.last()).copied();
+        Some(match newest {
+            Some((version, at)) => Wanted {
+                version,
+                named: Some(at),
+                ..wanted
+            },
+            None => wanted,
+        })
+    }
+
+    /// Fetches the chunks of what the target is to serve, and then those of the newest
+    /// version, until the process ends. Peers depend on it also while this target waits
+    /// for its turn to switch.
+    pub(super) async fn gather(self: Arc<Self>) {
+        let mut ticks = time::interval(INTERVAL);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            if !self.reachable() {
+                continue;
+            }
+            for wanted in [self.wanted(), self.newest()].into_iter().flatten() {
+                let Some(manifest) = self.manifest(&wanted.model, wanted.version).await else {
+                    time::sleep(MANIFEST_PAUSE).await;
+                    continue;
+                };
+                self.fetch(&manifest).await;
+            }
+        }
+    }
+
     /// Keeps the target at the wanted version until the process ends.
     pub(super) async fn keep_current(self: Arc<Self>) {
         let mut ticks = time::interval(INTERVAL);
@@ -88,13 +127,13 @@
         }
     }
 
-    /// Fetches, stages and loads one version.
-    async fn bring(self: &Arc<Self>, wanted: &Wanted) {
+    /// Stages and loads one version, if all of its chunks are here.
+    async fn bring(&self, wanted: &Wanted) {
         let Wanted { model, version, .. } = wanted;
-        let Some(manifest) = self.manifest(model, *version).await else {
+        let Some(manifest) = self.chunks.manifest(model, *version) else {
             return;
         };
-        if !self.fetch(&manifest).await || self.superseded(model, *version) {
+        if !self.chunks.missing(&manifest).is_empty() {
             return;
         }
         if !self.stage(&manifest).await {
@@ -105,11 +144,12 @@
         {
             let rank = plan::rank(&self.name(), &self.peers(*version));
             let at = plan::switch_at(named, rank);
-            let wait = at.saturating_duration_since(self.clock.now());
-            time::sleep(wait).await;
-            if self.superseded(model, *version) {
-                info!(model = model.as_str(), version; "version skipped");
-                return;
+            while self.clock.now() < at {
+                time::sleep(INTERVAL).await;
+                if self.superseded(model, *version) {
+                    info!(model = model.as_str(), version; "version skipped");
+                    return;
+                }
             }
         }
         if self.verify(&manifest).await {
--- a/src/net.rs
+++ b/src/net.rs
@@ -129,7 +129,10 @@
     ///
     /// # Errors
     /// Fails when the connection breaks; the request may have been sent.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
         let address = self.address;
         self.sender
             .send_request(request)
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -144,9 +144,7 @@
         let targets: Vec<_> = decoded.collect();
         let count = targets.len();
         let revision = list.revision;
-        let changed = self
-            .board
-            .update(|c| c.list_targets(revision, targets));
+        let changed = self.board.update(|c| c.list_targets(revision, targets));
         info!(topic = "targets", revision, count, changed; "listed");
     }
 
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -48,6 +48,8 @@
     /// Target on the VM; needed by hosts.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub target: Option<Target>,
+    /// Rate of the VM's own link, megabits a second, each way.
+    pub link_mbps: f64,
     /// Time limits of the deployment.
     pub bounds: Bounds,
 }
@@ -120,6 +122,9 @@
         if self.bounds.stop_ms == 0 {
             return Err(("bounds.stop_ms", "must be over 0"));
         }
+        if !(self.link_mbps > 0.0) {
+            return Err(("link_mbps", "must be over 0"));
+        }
         match self.role {
             Role::Gateway if self.listen.is_none() => {
                 Err(("listen", "is needed by the role gateway"))
--- a/src/place.rs
+++ b/src/place.rs
@@ -2,5 +2,6 @@
 //! caller is told when there is no place. Nothing here does input or output.
 
 pub mod ledger;
+pub mod pace;
 pub mod patience;
 pub mod pool;
--- a/src/place/ledger.rs
+++ b/src/place/ledger.rs
@@ -15,11 +15,11 @@
 const LIFETIME: Duration = Duration::from_secs(12);
 /// Part of the objective that a request may spend in the target's queue; the rest is
 /// for reading the prompt and the network.
-const QUEUE_SHARE: f64 = 0.4;
+const QUEUE_SHARE: f64 = 0.3;
 /// Additional queue of the most urgent requests, places for each rank.
 const RANK_PLACES: u32 = 1;
 /// Ranks that differ in their queue.
-const RANKS: u8 = 2;
+const RANKS: u8 = 1;
 /// Weight of a new observation in the mean time that a place is held.
 const HOLD_WEIGHT: f64 = 0.05;
 
--- a/src/place/pool.rs
+++ b/src/place/pool.rs
@@ -110,7 +110,11 @@
         let gone: Vec<TargetKey> = self
             .entries
             .iter()
-            .filter(|(_, e)| catalog.target(&e.target.id).is_none_or(|t| t.born != e.target.born))
+            .filter(|(_, e)| {
+                catalog
+                    .target(&e.target.id)
+                    .is_none_or(|t| t.born != e.target.born)
+            })
             .map(|(key, _)| key)
             .collect();
         for key in gone {
@@ -227,7 +231,9 @@
         self.entries.values().any(|e| {
             e.target.service == want.service
                 && e.target.phase == Phase::Ready
-                && want.weights.is_none_or(|least| e.weights(now).is_some_and(|v| v >= least))
+                && want
+                    .weights
+                    .is_none_or(|least| e.weights(now).is_some_and(|v| v >= least))
         })
     }
 }
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -188,7 +188,11 @@
         headers.remove(name);
     }
     set(&mut headers, EXPECT_INSTANCE, envelope.target);
-    set(&mut headers, DEADLINE, &envelope.left.as_millis().to_string());
+    set(
+        &mut headers,
+        DEADLINE,
+        &envelope.left.as_millis().to_string(),
+    );
     if let Some(version) = envelope.weights {
         set(&mut headers, EXPECT_VERSION, &version.to_string());
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -167,7 +167,10 @@
         wait: Duration,
     ) -> Result<Changes, Error> {
         let wait_ms = wait.as_millis();
-        let path = format!("/objects/{}?watch={revision}&wait_ms={wait_ms}", kind(topic));
+        let path = format!(
+            "/objects/{}?watch={revision}&wait_ms={wait_ms}",
+            kind(topic)
+        );
         let body = self.get(&path, wait + ANSWER_LIMIT, revision).await?;
         serde_json::from_slice(&body).context(MalformedSnafu)
     }
