Exchange chunks by what peers hold, with the swarm's own decisions

Ruled out: the origin, which had sent every chunk once by 20.2 s. Change: hosts tell each other what they hold; weights::choice, weights::peers and weights::plan decide, as for agents.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -177,6 +177,13 @@
         true
     }
 
+    /// Notes that all releases up to a revision are known.
+    pub fn list_releases(&mut self, revision: u64) -> bool {
+        let is_new = revision > self.released;
+        self.released = self.released.max(revision);
+        is_new
+    }
+
     /// Newest release of a model.
     #[must_use]
     pub fn named(&self, model: &str) -> Option<&Named> {
--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -133,7 +133,7 @@
                 gateway: self.agents.gateway,
             });
             for target in self.engines() {
-                self.agents.send(target, hello);
+                self.agents.send(target, hello.clone());
             }
         }
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use snafu::{OptionExt, ResultExt};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time;
 
 use crate::clock::Clock;
@@ -24,8 +24,10 @@
 use crate::place::ledger::Ledger;
 use crate::place::pace::Pace;
 use crate::platform::engine::{self, Report};
+use crate::rendezvous;
 
 mod chunks;
+mod exchange;
 mod fetch;
 mod places;
 pub mod plan;
@@ -43,8 +45,6 @@
 /// Part of the bound for new weights that is kept as a margin, so that a request that
 /// waits at the target still begins in time.
 const DUE_MARGIN: Duration = Duration::from_millis(700);
-/// Share of the VM's link that uploads to peers use; the rest is for requests.
-const UPLOAD_SHARE: f64 = 0.75;
 /// Slots of a target before the configuration is known.
 const UNKNOWN_SLOTS: u32 = 1;
 /// Time that a request holds a slot before the configuration is known.
@@ -64,6 +64,9 @@
     socket: UdpSocket,
     ledger: Mutex<Ledger>,
     listeners: Mutex<Vec<places::Listener>>,
+    subscribers: Mutex<Vec<exchange::Subscriber>>,
+    news: Mutex<exchange::News>,
+    heard: Notify,
     chunks: chunks::Chunks,
     uploads: Mutex<Pace>,
     fetching: tokio::sync::Mutex<()>,
@@ -102,8 +105,11 @@
         socket,
         ledger: Mutex::new(Ledger::new(UNKNOWN_SLOTS, UNKNOWN_HOLD)),
         listeners: Mutex::default(),
+        subscribers: Mutex::default(),
+        news: Mutex::default(),
+        heard: Notify::new(),
         chunks: chunks::Chunks::default(),
-        uploads: Mutex::new(Pace::new(settings.link_mbps, UPLOAD_SHARE, clock.now())),
+        uploads: Mutex::new(Pace::new(settings.link_mbps, clock.now())),
         fetching: tokio::sync::Mutex::default(),
         reporter: tokio::sync::Mutex::new(engine::Reporter::new(target.address)),
         engine: watch::Sender::default(),
@@ -126,6 +132,7 @@
     tokio::spawn(host.clone().watch_target());
     tokio::spawn(host.clone().hear_gateways());
     tokio::spawn(host.clone().gather());
+    tokio::spawn(host.clone().tell_peers());
     tokio::spawn(host.clone().keep_current());
     tokio::spawn(serve::run(listener, host.clone()));
     info!(vm = settings.vm.as_str(), role = "host", target:% = target.address; "started");
@@ -144,6 +151,11 @@
         self.numbers.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Whether the target holds weights, so that requests share its link.
+    fn is_serving(&self) -> bool {
+        self.engine.borrow().weights.is_some()
+    }
+
     fn reachable(&self) -> bool {
         *self.is_reachable.borrow()
     }
@@ -156,32 +168,30 @@
         found.map_or(centre, |i| &self.regions[i].1)
     }
 
-    /// Hosts of this service, this one included.
-    fn peers(&self, version: u64) -> Vec<plan::Peer> {
+    /// Position of this host among those of its service, and how many there are.
+    fn rank(&self) -> usize {
         let view = self.board.view();
         let same = view
             .targets
             .iter()
             .filter(|t| t.value.service == self.service);
-        let mut peers: Vec<plan::Peer> = same
-            .map(|t| plan::Peer {
-                name: t.value.address.to_string(),
-                region: self.region(&t.value.centre).to_owned(),
-                address: SocketAddr::new(t.value.address.ip(), self.port),
-                holds: t.value.weights == Some(version),
-            })
-            .collect();
-        if peers.iter().all(|p| p.name != self.name()) {
-            peers.push(plan::Peer {
-                name: self.name(),
-                region: self.region.clone(),
-                address: SocketAddr::new(self.target.ip(), self.port),
-                holds: false,
-            });
-        }
-        peers.sort_by(|a, b| a.name.cmp(&b.name));
-        peers.dedup_by(|a, b| a.name == b.name);
-        peers
+        same.filter(|t| t.value.address < self.target).count()
+    }
+
+    /// Host of the region that fetches a version's manifest for the others, unless it is this one.
+    fn librarian(&self, model: &str, version: u64) -> Option<SocketAddr> {
+        let view = self.board.view();
+        let near = view.targets.iter().map(|t| &t.value).filter(|t| {
+            t.service == self.service
+                && t.phase == Phase::Ready
+                && t.weights.is_some()
+                && self.region(&t.centre) == self.region
+        });
+        let names: Vec<String> = near.map(|t| t.address.to_string()).collect();
+        let key = format!("{model}/{version}");
+        let first = rendezvous::first(key.as_bytes(), names.iter().map(String::as_str))?;
+        let target: SocketAddr = first.parse().ok()?;
+        (target != self.target).then(|| SocketAddr::new(target.ip(), self.port))
     }
 
     /// Address of the origin of weights.
--- a/src/host/chunks.rs
+++ b/src/host/chunks.rs
@@ -91,6 +91,15 @@
         found.data.get(index)?.clone()
     }
 
+    /// Which chunks of a version are held; empty while its manifest is unknown.
+    #[must_use]
+    pub fn held(&self, model: &str, version: u64) -> Vec<bool> {
+        let versions = self.versions.lock();
+        let found = versions.iter().find(|v| is(v, model, version));
+        let data = found.map(|v| v.data.as_slice()).unwrap_or_default();
+        data.iter().map(Option::is_some).collect()
+    }
+
     /// Positions of the chunks of a version that are missing.
     #[must_use]
     pub fn missing(&self, manifest: &Manifest) -> Vec<usize> {
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -59,6 +59,7 @@
                 self.send(from, Body::Answer(answer));
             }
             Body::Done(done) => self.ledger.lock().done(done.ticket(), now),
+            Body::Have(have) => self.hear_peer(from, have, now),
             Body::State(_) | Body::Answer(_) => log::debug!(from:% = from; "datagram ignored"),
         }
     }
@@ -112,7 +113,7 @@
         let state = Body::State(self.state());
         let listeners = self.listeners.lock().clone();
         for listener in listeners {
-            self.send(listener.address, state);
+            self.send(listener.address, state.clone());
         }
     }
 
@@ -130,7 +131,8 @@
         self.announce();
     }
 
-    fn send(&self, to: SocketAddr, body: Body) {
+    /// Sends a datagram; a lost one is made up for by the next.
+    pub(super) fn send(&self, to: SocketAddr, body: Body) {
         if let Err(e) = self.socket.try_send_to(&message::encode(body), to) {
             let reason = e.to_string();
             log::debug!(to:% = to, reason = reason.as_str(); "datagram not sent");
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -20,10 +20,14 @@
 use crate::host::Host;
 use crate::net;
 
-/// Time that a peer waits for a chunk that is on its way here.
-const ARRIVAL_WAIT: Duration = Duration::from_millis(1_000);
+/// Time in which the origin sends a manifest for a peer.
+const MANIFEST_WAIT: Duration = Duration::from_millis(1_000);
 /// Bytes that are sent at once; on the narrowest links of today's sites they take 4 ms.
 const SLICE: usize = 4_096;
+/// Share of the VM's link that uploads use while its target serves requests.
+const BUSY_SHARE: f64 = 0.75;
+/// Share of the VM's link that uploads use while its target serves none.
+const IDLE_SHARE: f64 = 0.95;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -119,14 +123,19 @@
         }
         let slice = rest.split_to(rest.len().min(SLICE));
         let now = host.clock.now();
-        let wait = host.uploads.lock().reserve(slice.len(), now);
+        let share = if host.is_serving() {
+            BUSY_SHARE
+        } else {
+            IDLE_SHARE
+        };
+        let wait = host.uploads.lock().reserve(slice.len(), share, now);
         time::sleep(wait).await;
         Some((Ok(Frame::data(slice)), (host, rest)))
     })
 }
 
 async fn manifest<C: Clock>(host: &Arc<Host<C>>, model: &str, version: u64) -> Option<Bytes> {
-    let found = time::timeout(ARRIVAL_WAIT, host.original(model, version)).await;
+    let found = time::timeout(MANIFEST_WAIT, host.original(model, version)).await;
     let manifest = found.ok()??;
     match serde_json::to_vec(&*manifest) {
         Ok(body) => Some(body.into()),
@@ -138,26 +147,15 @@
     }
 }
 
+/// A chunk that is in memory or staged at the target.
 async fn chunk<C: Clock>(
     host: &Arc<Host<C>>,
     model: &str,
     version: u64,
     index: usize,
 ) -> Option<Bytes> {
-    if let Some(data) = host.chunks.get(model, version, index) {
-        return Some(data);
+    match host.chunks.get(model, version, index) {
+        Some(data) => Some(data),
+        None => host.staged(model, version, index).await,
     }
-    if let Some(data) = host.staged(model, version, index).await {
-        return Some(data);
-    }
-    let arrival = async {
-        loop {
-            let changed = host.chunks.changed();
-            if let Some(data) = host.chunks.get(model, version, index) {
-                return data;
-            }
-            changed.await;
-        }
-    };
-    time::timeout(ARRIVAL_WAIT, arrival).await.ok()
 }
--- a/src/host/switch.rs
+++ b/src/host/switch.rs
@@ -41,6 +41,10 @@
     /// Version that the target is to serve next, if it serves another.
     fn wanted(&self) -> Option<Wanted> {
         let view = self.board.view();
+        // Until the releases are listed, the first version may be long replaced.
+        if view.released == 0 {
+            return None;
+        }
         let service = view.config.as_ref()?.service(&self.service)?.clone();
         let model = service.engine?.models.into_iter().next()?;
         let now = self.engine.borrow().weights.unwrap_or(0);
@@ -107,7 +111,7 @@
                     time::sleep(MANIFEST_PAUSE).await;
                     continue;
                 };
-                self.fetch(&manifest).await;
+                self.fetch(manifest).await;
             }
         }
     }
@@ -142,8 +146,7 @@
         if let Some(named) = wanted.named
             && self.engine.borrow().weights.is_some()
         {
-            let rank = plan::rank(&self.name(), &self.peers(*version));
-            let at = plan::switch_at(named, rank);
+            let at = plan::switch_at(named, self.rank());
             while self.clock.now() < at {
                 time::sleep(INTERVAL).await;
                 if self.superseded(model, *version) {
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -130,6 +130,9 @@
                 let removed = false;
                 self.apply(Event { removed, object }, LISTED_AGE);
             }
+            if self.topic == Topic::Releases {
+                self.board.update(|c| c.list_releases(list.revision));
+            }
             return;
         }
         let decoded = list.items.into_iter().filter_map(|object| {
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -8,12 +8,12 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Packet {
     /// What it says.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6")]
     pub body: Option<Body>,
 }
 
 /// Kinds of datagrams.
-#[derive(Clone, Copy, PartialEq, prost::Oneof)]
+#[derive(Clone, PartialEq, prost::Oneof)]
 pub enum Body {
     /// A gateway wants to hear a host's state.
     #[prost(message, tag = "1")]
@@ -30,6 +30,9 @@
     /// A request has ended.
     #[prost(message, tag = "5")]
     Done(Done),
+    /// Chunks that a host holds.
+    #[prost(message, tag = "6")]
+    Have(Have),
 }
 
 /// A gateway wants to hear a host's state.
@@ -105,6 +108,46 @@
     pub request: u64,
 }
 
+/// Chunks that a host holds.
+#[derive(Clone, PartialEq, Message)]
+pub struct Have {
+    /// Model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Version.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Whether it holds all chunks.
+    #[prost(bool, tag = "3")]
+    pub whole: bool,
+    /// One bit for each chunk, lowest first, unless it holds all.
+    #[prost(bytes = "vec", tag = "4")]
+    pub chunks: Vec<u8>,
+    /// Whether the sender wants to hear what the receiver holds.
+    #[prost(bool, tag = "5")]
+    pub asks: bool,
+}
+
+impl Have {
+    /// Positions of the chunks among `count`.
+    pub fn positions(&self, count: usize) -> impl Iterator<Item = usize> {
+        (0..count).filter(|i| {
+            let byte = self.chunks.get(i / 8).copied().unwrap_or(0);
+            self.whole || byte >> (i % 8) & 1 == 1
+        })
+    }
+}
+
+/// Bits of the chunks that are held, lowest first.
+#[must_use]
+pub fn bits(held: &[bool]) -> Vec<u8> {
+    let byte = |part: &[bool]| {
+        let bits = part.iter().enumerate();
+        bits.fold(0, |byte, (i, held)| byte | u8::from(*held) << i)
+    };
+    held.chunks(8).map(byte).collect()
+}
+
 impl Done {
     /// Grant that ends.
     #[must_use]
@@ -134,7 +177,7 @@
 /// use corianderramp::node::message::{self, Body, Hello};
 ///
 /// let hello = Body::Hello(Hello { gateway: 7 });
-/// assert_eq!(message::decode(&message::encode(hello)), Some(hello));
+/// assert_eq!(message::decode(&message::encode(hello.clone())), Some(hello));
 /// assert_eq!(message::decode(b"\xff\xff"), None);
 /// ```
 #[must_use]
--- a/src/place/pace.rs
+++ b/src/place/pace.rs
@@ -16,7 +16,7 @@
 }
 
 impl Pace {
-    /// Pace of `share` of a link with `mbps` megabits a second.
+    /// Pace on a link with `mbps` megabits a second.
     ///
     /// ```
     /// use std::time::{Duration, Instant};
@@ -24,24 +24,24 @@
     /// use corianderramp::place::pace::Pace;
     ///
     /// let now = Instant::now();
-    /// let mut pace = Pace::new(8.0, 0.5, now);
-    /// assert_eq!(pace.reserve(5_000, now), Duration::ZERO);
-    /// assert_eq!(pace.reserve(5_000, now), Duration::from_millis(10));
+    /// let mut pace = Pace::new(8.0, now);
+    /// assert_eq!(pace.reserve(5_000, 0.5, now), Duration::ZERO);
+    /// assert_eq!(pace.reserve(5_000, 0.5, now), Duration::from_millis(10));
     /// ```
     #[must_use]
-    pub fn new(mbps: f64, share: f64, now: Instant) -> Self {
+    pub fn new(mbps: f64, now: Instant) -> Self {
         Self {
-            rate: mbps * 1e6 / 8.0 * share,
+            rate: mbps * 1e6 / 8.0,
             next: now,
         }
     }
 
-    /// Time to wait before `bytes` may be sent.
-    pub fn reserve(&mut self, bytes: usize, now: Instant) -> Duration {
+    /// Time to wait before `bytes` may be sent, if transfers take `share` of the link.
+    pub fn reserve(&mut self, bytes: usize, share: f64, now: Instant) -> Duration {
         let begin = self.next.max(now);
         // Slices are far below the precision of a double.
         #[allow(clippy::cast_precision_loss)]
-        let takes = Duration::from_secs_f64(bytes as f64 / self.rate);
+        let takes = Duration::from_secs_f64(bytes as f64 / (self.rate * share));
         self.next = begin + takes;
         begin.saturating_duration_since(now)
     }
--- a/src/weights/plan.rs
+++ b/src/weights/plan.rs
@@ -51,10 +51,15 @@
     pub neighbours: Vec<usize>,
 }
 
-struct Member<'a> {
-    name: &'a str,
-    data_center: &'a str,
-    leaving: bool,
+/// An agent that takes part in an exchange.
+#[derive(Clone, Copy, Debug)]
+pub struct Member<'a> {
+    /// Name by which all agents rank it.
+    pub name: &'a str,
+    /// Group inside which chunks travel freely; between groups each travels once.
+    pub data_center: &'a str,
+    /// Whether it has no duties because it is leaving or not ready yet.
+    pub leaving: bool,
 }
 
 /// Computes peers and duties of the agent `own` in `data_center`.
@@ -90,10 +95,23 @@
             local: vm.spec.data_center == data_center,
         })
         .collect();
+    of(&members, peers, own, data_center, chunks)
+}
+
+/// Duties of the agent `own` in `data_center` among `members`. `peers` are the others,
+/// sorted by name.
+#[must_use]
+pub fn of(
+    members: &[Member],
+    peers: Vec<Peer>,
+    own: &str,
+    data_center: &str,
+    chunks: &[digest::Digest],
+) -> Plan {
     let mut centers: Vec<&str> = members.iter().map(|m| m.data_center).collect();
     centers.sort_unstable();
     centers.dedup();
-    let duty = |chunk: &digest::Digest| duty(chunk, &members, &centers, &peers, own, data_center);
+    let duty = |chunk: &digest::Digest| duty(chunk, members, &centers, &peers, own, data_center);
     let duties: Vec<Duty> = chunks.iter().map(duty).collect();
     let followed = followed(&peers, &duties, own);
     let neighbours = followed.iter().copied().filter(|i| peers[*i].local);
