Place requests by the wait for reading their prompt

Change: the ledger estimates when granted prompts are read; a request first asks for a target where it hardly waits, and last the one with the shortest wait.

--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -37,6 +37,19 @@
     waiting: Mutex<Vec<(u64, oneshot::Sender<Answer>)>>,
 }
 
+/// What a request needs of a place.
+#[derive(Clone, Copy, Debug)]
+pub struct Needs {
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Time within which the first event is due.
+    pub objective: Duration,
+    /// Length of the prompt, tokens.
+    pub prompt: u32,
+    /// Whether it is placed only where it hardly waits.
+    pub is_choosy: bool,
+}
+
 impl Agents {
     /// Conversation over `socket` with hosts at `port`.
     #[must_use]
@@ -81,18 +94,15 @@
     }
 
     /// Asks the host of `target` for a place; `None` when it does not answer.
-    pub async fn ask(
-        &self,
-        target: SocketAddr,
-        request: u64,
-        priority: u8,
-        objective: Duration,
-    ) -> Option<Answer> {
+    pub async fn ask(&self, target: SocketAddr, request: u64, needs: &Needs) -> Option<Answer> {
+        let objective = needs.objective.as_millis();
         let ask = Ask {
             gateway: self.gateway,
             request,
-            priority: priority.into(),
-            objective: u32::try_from(objective.as_millis()).unwrap_or(u32::MAX),
+            priority: needs.priority.into(),
+            objective: u32::try_from(objective).unwrap_or(u32::MAX),
+            prompt: needs.prompt,
+            is_choosy: needs.is_choosy,
         };
         for _ in 0..ASKS {
             let (sender, receiver) = oneshot::channel();
@@ -189,6 +199,7 @@
         let Some(key) = pool.at(target) else { return };
         let heard = State {
             free: state.free,
+            wait: Duration::from_millis(state.wait.into()),
             weights: state.weights,
             is_open: state.is_open,
             heard: self.clock.now(),
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -129,12 +129,16 @@
 
     async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
         if !self.first.is_empty() {
+            self.record.pass();
             return Some(Ok(std::mem::take(&mut self.first)));
         }
         loop {
             self.started.as_ref()?;
             match self.read().await {
-                Read::Events(events) => return Some(Ok(events)),
+                Read::Events(events) => {
+                    self.record.pass();
+                    return Some(Ok(events));
+                }
                 Read::End => {
                     if let Some(started) = self.started.take() {
                         started.flight.judge(true);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::fleet::{Class, Config, Route};
 use crate::gateway::Gateway;
+use crate::gateway::agents::Needs;
 use crate::gateway::flight::Flight;
 use crate::net;
 use crate::place::pool::{TargetKey, Want};
@@ -165,13 +166,19 @@
         let mut asks = 0;
         loop {
             let now = self.clock.now();
+            // The last ask goes to the target with the shortest wait of those known by then.
+            let is_choosy = asks < MAX_ASKS - 1;
             let want = Want {
                 service: &call.service,
-                tried: &refused,
+                tried: if is_choosy { &refused } else { &trace.tried },
                 weights,
                 centre: &self.centre,
             };
             let Some(pick) = self.pick(&want, now) else {
+                if asks > 0 && asks < MAX_ASKS - 1 {
+                    asks = MAX_ASKS - 1;
+                    continue;
+                }
                 let exists = asks > 0 || self.pool.lock().serves(&want, now);
                 return Err(if exists {
                     NoPlace::Full
@@ -189,12 +196,13 @@
             asks += 1;
             trace.asks += 1;
             let number = self.agents.number();
-            let objective = call.route().objective;
-            let answer = self
-                .agents
-                .ask(address, number, call.priority, objective)
-                .await;
-            match answer {
+            let needs = Needs {
+                priority: call.priority,
+                objective: call.route().objective,
+                prompt: call.terms.prompt,
+                is_choosy,
+            };
+            match self.agents.ask(address, number, &needs).await {
                 Some(answer) if answer.is_granted => {
                     return Ok(Flight::begin(self, key, address, Some(number)));
                 }
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -41,6 +41,14 @@
     pub trace: Trace,
     /// Times that another target continued the stream.
     pub resumed: u32,
+    /// Prompt and answer length, tokens.
+    size: (u32, u32),
+    /// When the last bytes went to the caller.
+    last: Option<Instant>,
+    /// Time to the first bytes of the answer.
+    first: Duration,
+    /// Longest pause between bytes of the answer.
+    pause: Duration,
     _active: Active<C>,
 }
 
@@ -57,10 +65,23 @@
             status: 0,
             trace: Trace::default(),
             resumed: 0,
+            size: (0, 0),
+            last: None,
+            first: Duration::ZERO,
+            pause: Duration::ZERO,
             _active: Active::begin(gateway),
         }
     }
 
+    /// Notes that bytes go to the caller.
+    pub fn pass(&mut self) {
+        let now = self.gateway.clock.now();
+        match self.last.replace(now) {
+            Some(last) => self.pause = self.pause.max(now.saturating_duration_since(last)),
+            None => self.first = now.saturating_duration_since(self.begin),
+        }
+    }
+
     /// Notes how the request ended.
     pub fn finish(&mut self, outcome: &'static str) {
         self.outcome = outcome;
@@ -71,13 +92,16 @@
     fn drop(&mut self) {
         let now = self.gateway.clock.now();
         let took = now.saturating_duration_since(self.begin);
-        let ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
         info!(
             id = self.id.as_str(),
             route = self.route.as_str(),
             outcome = self.outcome,
             status = self.status,
-            ms,
+            ms = millis(took),
+            first = millis(self.first),
+            pause = millis(self.pause),
+            prompt = self.size.0,
+            answer = self.size.1,
             target = self.trace.target.as_str(),
             sends = self.trace.sends,
             asks = self.trace.asks,
@@ -89,6 +113,11 @@
     }
 }
 
+/// Whole milliseconds, for logs.
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Why this system answers itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Refusal {
@@ -161,6 +190,7 @@
         let (parts, body) = request.into_parts();
         let terms = request::terms(&parts.headers);
         record.id.clone_from(&terms.id);
+        record.size = (terms.prompt, terms.answer);
         let view = self.board.view();
         let config = view.config.clone().ok_or(NO_CONFIG)?;
         record.config = config.version;
@@ -286,6 +316,7 @@
         let mut head = started.head;
         request::backward(&mut head.headers);
         record.status = head.status.as_u16();
+        record.pass();
         record.finish("served");
         Ok(Response::from_parts(head, Full::new(body)))
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -47,6 +47,8 @@
 const DUE_MARGIN: Duration = Duration::from_millis(700);
 /// Slots of a target before the configuration is known.
 const UNKNOWN_SLOTS: u32 = 1;
+/// Prompt tokens that a target reads in a second before the configuration is known.
+const UNKNOWN_PREFILL: f64 = 10_000.0;
 /// Time that a request holds a slot before the configuration is known.
 const UNKNOWN_HOLD: Duration = Duration::from_secs(1);
 
@@ -103,7 +105,7 @@
         port: settings.ports[0],
         bounds: settings.bounds.clone(),
         socket,
-        ledger: Mutex::new(Ledger::new(UNKNOWN_SLOTS, UNKNOWN_HOLD)),
+        ledger: Mutex::new(Ledger::new(UNKNOWN_SLOTS, UNKNOWN_HOLD, UNKNOWN_PREFILL)),
         listeners: Mutex::default(),
         subscribers: Mutex::default(),
         news: Mutex::default(),
@@ -215,7 +217,7 @@
                 let mut ledger = self.ledger.lock();
                 if known.is_none() {
                     let is_open = ledger.is_open();
-                    *ledger = Ledger::new(engine.slots, engine.hold());
+                    *ledger = Ledger::new(engine.slots, engine.hold(), engine.prefill);
                     ledger.set_open(is_open);
                 } else {
                     ledger.resize(engine.slots);
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -16,8 +16,6 @@
 const MAX_DATAGRAM: usize = 2_048;
 /// Time after which a gateway that no longer greets is forgotten.
 const GATEWAY_AGE: Duration = Duration::from_secs(5);
-/// Objective by which the free places in a statement are counted.
-const USUAL_OBJECTIVE: Duration = Duration::from_millis(300);
 /// Pause after a failed receive.
 const PAUSE: Duration = Duration::from_millis(25);
 
@@ -72,16 +70,13 @@
             },
             priority: u8::try_from(ask.priority).unwrap_or(u8::MAX),
             objective: Duration::from_millis(ask.objective.into()),
+            prompt: ask.prompt,
+            is_choosy: ask.is_choosy,
         };
         let verdict = self.ledger.lock().ask(&wanted, now);
-        let wait = match verdict {
-            Verdict::Full(wait) => u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
-            Verdict::Granted | Verdict::Closed => 0,
-        };
         Answer {
             request: ask.request,
             is_granted: verdict == Verdict::Granted,
-            wait,
             state: Some(self.state()),
         }
     }
@@ -98,9 +93,11 @@
 
     /// State as gateways see it.
     fn state(&self) -> State {
+        let now = self.clock.now();
         let ledger = self.ledger.lock();
         State {
-            free: ledger.free(USUAL_OBJECTIVE),
+            free: ledger.free(),
+            wait: u32::try_from(ledger.wait(now).as_millis()).unwrap_or(u32::MAX),
             weights: self.engine.borrow().weights.unwrap_or(0),
             is_open: ledger.is_open(),
             number: self.number(),
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -46,7 +46,7 @@
 /// State of the host's target.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct State {
-    /// Places for requests of the lowest rank.
+    /// Slots that nobody holds.
     #[prost(uint32, tag = "1")]
     pub free: u32,
     /// Version of the weights in use; 0 for none.
@@ -61,6 +61,9 @@
     /// Port of the target on the host's VM.
     #[prost(uint32, tag = "5")]
     pub port: u32,
+    /// Time that a request sent now waits until its prompt is read, milliseconds.
+    #[prost(uint32, tag = "6")]
+    pub wait: u32,
 }
 
 /// A gateway asks for a place.
@@ -78,6 +81,12 @@
     /// Time within which the first event is due, milliseconds.
     #[prost(uint32, tag = "4")]
     pub objective: u32,
+    /// Length of the prompt, tokens.
+    #[prost(uint32, tag = "5")]
+    pub prompt: u32,
+    /// Whether the request is placed only where it hardly waits.
+    #[prost(bool, tag = "6")]
+    pub is_choosy: bool,
 }
 
 /// Answer to an ask.
@@ -89,9 +98,6 @@
     /// Whether the request may be sent.
     #[prost(bool, tag = "2")]
     pub is_granted: bool,
-    /// Time until the next place is expected to be free, milliseconds.
-    #[prost(uint32, tag = "3")]
-    pub wait: u32,
     /// State after the decision.
     #[prost(message, optional, tag = "4")]
     pub state: Option<State>,
--- a/src/place/ledger.rs
+++ b/src/place/ledger.rs
@@ -13,12 +13,14 @@
 const ARRIVAL: Duration = Duration::from_millis(500);
 /// Longest time that a grant counts without a sign of its request.
 const LIFETIME: Duration = Duration::from_secs(12);
-/// Part of the objective that a request may spend in the target's queue; the rest is
-/// for reading the prompt and the network.
-const QUEUE_SHARE: f64 = 0.3;
-/// Additional queue of the most urgent requests, places for each rank.
-const RANK_PLACES: u32 = 1;
-/// Ranks that differ in their queue.
+/// Part of the objective that a request may wait before its own prompt is read; the rest
+/// is for its prompt, its first tokens and the network.
+const WAIT_SHARE: f64 = 0.4;
+/// Wait up to which a target counts as prompt, so that no other one needs to be asked.
+const PROMPT_WAIT: Duration = Duration::from_millis(30);
+/// Share of the engine's reading rate that is left beside the tokens of other requests.
+const READING_SHARE: f64 = 0.65;
+/// Ranks above the usual one; for each of them a request may wait for one more slot.
 const RANKS: u8 = 1;
 /// Weight of a new observation in the mean time that a place is held.
 const HOLD_WEIGHT: f64 = 0.05;
@@ -41,6 +43,10 @@
     pub priority: u8,
     /// Time within which its first event is due.
     pub objective: Duration,
+    /// Length of its prompt, tokens.
+    pub prompt: u32,
+    /// Whether it is placed only where it hardly waits; other targets are asked next.
+    pub is_choosy: bool,
 }
 
 /// Answer to a request that asks for a place.
@@ -48,7 +54,7 @@
 pub enum Verdict {
     /// The request may be sent now.
     Granted,
-    /// There is no place; one is expected to be free after the given time.
+    /// The request would wait about the given time, which is too long.
     Full(Duration),
     /// The target takes nothing now.
     Closed,
@@ -60,6 +66,10 @@
     slots: u32,
     /// Mean time that a request holds a slot, seconds.
     hold: f64,
+    /// Prompt tokens that are read in a second.
+    reading: f64,
+    /// When the prompts that were granted so far are read.
+    read: Option<Instant>,
     grants: Vec<Grant>,
     /// Requests at the target by its own report.
     reported: u32,
@@ -73,12 +83,15 @@
 }
 
 impl Ledger {
-    /// Empty ledger of a target with `slots` places, each held for `hold` on average.
+    /// Empty ledger of a target with `slots` places, each held for `hold` on average,
+    /// that reads `prefill` prompt tokens in a second.
     #[must_use]
-    pub fn new(slots: u32, hold: Duration) -> Self {
+    pub fn new(slots: u32, hold: Duration, prefill: f64) -> Self {
         Self {
             slots,
             hold: hold.as_secs_f64(),
+            reading: (prefill * READING_SHARE).max(1.0),
+            read: None,
             grants: Vec::new(),
             reported: 0,
             is_open: false,
@@ -108,25 +121,29 @@
         granted.max(self.reported)
     }
 
-    /// Places that a request of the lowest rank and this objective still finds.
+    /// Slots that nobody holds.
     #[must_use]
-    pub fn free(&self, objective: Duration) -> u32 {
-        if !self.is_open {
-            return 0;
+    pub fn free(&self) -> u32 {
+        if self.is_open {
+            self.slots.saturating_sub(self.active())
+        } else {
+            0
         }
-        let room = self.slots + self.queue(objective);
-        room.saturating_sub(self.active())
     }
 
-    /// Places behind the running requests from which one starts within its objective.
-    fn queue(&self, objective: Duration) -> u32 {
-        let turnover = self.hold / f64::from(self.slots.max(1));
-        let wait = objective.as_secs_f64() * QUEUE_SHARE;
-        let places = (wait / turnover.max(1e-6)).floor();
-        // Truncation is harmless: the value lies between 1 and the number of slots.
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let places = places.clamp(1.0, f64::from(self.slots.max(1))) as u32;
-        places
+    /// Time that a request granted now waits until its prompt is read: for a slot and for
+    /// the prompts before it.
+    #[must_use]
+    pub fn wait(&self, now: Instant) -> Duration {
+        let ahead = (self.active() + 1).saturating_sub(self.slots);
+        let slot = self.turnover().mul_f64(f64::from(ahead));
+        let read = self.read.map(|at| at.saturating_duration_since(now));
+        slot.max(read.unwrap_or_default())
+    }
+
+    /// Mean time between two ends of requests at a full target.
+    fn turnover(&self) -> Duration {
+        Duration::from_secs_f64(self.hold / f64::from(self.slots.max(1)))
     }
 
     /// Decides on a request. A repeated ask gets the same answer.
@@ -137,12 +154,18 @@
         if self.find(ask.ticket).is_ok() {
             return Verdict::Granted;
         }
-        let rank = RANKS.saturating_sub(ask.priority);
-        let extra = RANK_PLACES * u32::from(rank);
-        let room = self.slots + self.queue(ask.objective) + extra;
-        if self.active() >= room {
-            return Verdict::Full(self.next_free());
+        let wait = self.wait(now);
+        let limit = if ask.is_choosy {
+            PROMPT_WAIT
+        } else {
+            let rank = RANKS.saturating_sub(ask.priority);
+            ask.objective.mul_f64(WAIT_SHARE) + self.turnover() * u32::from(rank)
+        };
+        if wait > limit {
+            return Verdict::Full(wait);
         }
+        let takes = Duration::from_secs_f64(f64::from(ask.prompt) / self.reading);
+        self.read = Some(self.read.map_or(now, |at| at.max(now)) + takes);
         if let Err(at) = self.find(ask.ticket) {
             let grant = Grant {
                 ticket: ask.ticket,
@@ -153,12 +176,6 @@
         Verdict::Granted
     }
 
-    /// Time until the next place is expected to be free.
-    #[must_use]
-    pub fn next_free(&self) -> Duration {
-        Duration::from_secs_f64(self.hold / f64::from(self.slots.max(1)))
-    }
-
     /// Frees the place of a request that has ended.
     pub fn done(&mut self, ticket: Ticket, now: Instant) {
         let Ok(at) = self.find(ticket) else { return };
--- a/src/place/pool.rs
+++ b/src/place/pool.rs
@@ -20,6 +20,14 @@
 const BLIND_REQUESTS: u32 = 2;
 /// Requests that one gateway has at a plain target before it prefers another data centre.
 const NEAR_REQUESTS: u32 = 4;
+/// Wait that weighs as much as the spread between equal targets.
+const WAIT_UNIT: Duration = Duration::from_millis(20);
+/// Cost of a target in another data centre, in the same unit.
+const FAR_COST: f64 = 1.5;
+/// Cost of a target whose slots are all taken, in the same unit.
+const LOAD_COST: f64 = 3.0;
+/// Cost of a target whose agent is silent, in the same unit.
+const BLIND_COST: f64 = 10.0;
 /// Time for which a target that failed is chosen last, for each failure in a row.
 const AVOID: Duration = Duration::from_millis(400);
 /// Failures in a row after which the avoidance grows no further.
@@ -30,8 +38,10 @@
 /// What the agent beside a target said.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct State {
-    /// Places that a request of the lowest rank finds.
+    /// Slots that nobody holds.
     pub free: u32,
+    /// Time that a request waits at the target until its prompt is read.
+    pub wait: Duration,
     /// Version of the weights that the target serves; 0 while it serves none.
     pub weights: u64,
     /// Whether it takes requests.
@@ -258,13 +268,14 @@
     let avoided = if entry.is_avoided(now) { 100.0 } else { 0.0 };
     let faulty = entry.faulty * 20.0;
     let load = match (want.weights, entry.state(now)) {
-        (Some(_), Some(state)) if state.free == 0 => 20.0,
         (Some(_), Some(state)) => {
+            let age = now.saturating_duration_since(state.heard);
+            let wait = state.wait.saturating_sub(age).as_secs_f64() / WAIT_UNIT.as_secs_f64();
             let part = f64::from(state.free) / f64::from(entry.target.slots.max(1));
-            let near = if far { 2.0 } else { 0.0 };
-            near + 4.0 * (1.0 - part.min(1.0))
+            let near = if far { FAR_COST } else { 0.0 };
+            near + wait + LOAD_COST * (1.0 - part.min(1.0))
         }
-        (Some(_), None) => 10.0 + f64::from(entry.active),
+        (Some(_), None) => BLIND_COST + f64::from(entry.active),
         (None, _) => {
             let near = if far { f64::from(NEAR_REQUESTS) } else { 0.0 };
             near + f64::from(entry.active)
