Let two scouts of each region follow the store for the others

Change: two hosts of each region follow the store, the others follow them by long polls with gzipped parts and go to the store themselves when no scout is in contact with it; after a failure a list replaces the history.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -110,6 +110,11 @@
         changed
     }
 
+    /// Notes that the targets last changed at a revision.
+    pub fn note_targets(&mut self, revision: u64) {
+        self.listed = self.listed.max(revision);
+    }
+
     /// Applies one change of a target.
     pub fn change_target(&mut self, known: Known<Option<Target>>) -> bool {
         let found = self.targets.binary_search_by(|t| t.name.cmp(&known.name));
@@ -168,6 +173,7 @@
         };
         let known = &mut self.releases[at];
         known.revision = revision;
+        self.released = self.released.max(revision);
         let named = &mut known.value;
         if named.history.len() == MAX_HISTORY {
             named.history.remove(0);
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,7 +13,6 @@
 
 use crate::clock::Clock;
 use crate::entry::budget::Budget;
-use crate::fleet::catalog::Topic;
 use crate::node::follow::{self, Contact};
 use crate::node::settings::{Listen, Settings};
 use crate::node::stop::Signals;
@@ -79,10 +78,12 @@
     let socket = socket.context(ListenSnafu { address })?;
 
     let now = clock.now();
+    let board = Board::default();
+    let contact = follow::start(&settings, &board, &clock);
     let gateway = Arc::new(Gateway {
         centre: settings.data_center.clone(),
-        board: Board::default(),
-        contact: Contact::default(),
+        board,
+        contact,
         pool: Mutex::default(),
         agents: agents::Agents::new(socket, rand::rng().random(), settings.ports[0]),
         budget: Mutex::new(Budget::new(now)),
@@ -93,15 +94,6 @@
         active: std::sync::atomic::AtomicUsize::new(0),
         clock,
     });
-    for topic in Topic::ALL {
-        tokio::spawn(follow::run(
-            topic,
-            settings.store,
-            gateway.board.clone(),
-            gateway.contact.clone(),
-            gateway.clock.clone(),
-        ));
-    }
     tokio::spawn(gateway.clone().sync_pool());
     tokio::spawn(gateway.clone().hear_agents());
     tokio::spawn(gateway.clone().greet_agents());
--- a/src/host.rs
+++ b/src/host.rs
@@ -16,11 +16,10 @@
 use crate::clock::Clock;
 use crate::digest::Digest;
 use crate::fleet::Phase;
-use crate::fleet::catalog::Topic;
 use crate::node::follow::{self, Contact};
 use crate::node::settings::{Bounds, Settings};
 use crate::node::stop::Signals;
-use crate::node::{Board, Error, ListenSnafu, MissingSnafu};
+use crate::node::{Board, Error, ListenSnafu, MissingSnafu, relay};
 use crate::place::ledger::Ledger;
 use crate::place::pace::Pace;
 use crate::platform::engine::{self, Report};
@@ -57,6 +56,8 @@
 pub struct Host<C: Clock> {
     clock: C,
     board: Board,
+    contact: Contact,
+    cache: relay::Cache,
     service: String,
     region: String,
     target: SocketAddr,
@@ -97,8 +98,12 @@
     let socket = socket.context(ListenSnafu { address })?;
     let listener = TcpListener::bind(address).await;
     let listener = listener.context(ListenSnafu { address })?;
+    let board = Board::default();
+    let contact = follow::start(&settings, &board, &clock);
     let host = Arc::new(Host {
-        board: Board::default(),
+        board,
+        contact,
+        cache: relay::Cache::default(),
         service: target.service,
         region: settings.region.clone(),
         target: target.address,
@@ -121,15 +126,6 @@
         regions: settings.regions(),
         clock,
     });
-    for topic in Topic::ALL {
-        tokio::spawn(follow::run(
-            topic,
-            settings.store,
-            host.board.clone(),
-            Contact::default(),
-            host.clock.clone(),
-        ));
-    }
     tokio::spawn(host.clone().size_ledger());
     tokio::spawn(host.clone().watch_target());
     tokio::spawn(host.clone().hear_gateways());
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::{self, Stream};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Uri};
 use http_body_util::StreamBody;
 use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::host::Host;
 use crate::net;
+use crate::node::relay;
 
 /// Time in which the origin sends a manifest for a peer.
 const MANIFEST_WAIT: Duration = Duration::from_millis(1_000);
@@ -84,7 +85,7 @@
     }
     let service = service_fn(move |request: Request<Incoming>| {
         let host = host.clone();
-        async move { Ok::<_, Infallible>(answer(&host, request.uri().path()).await) }
+        async move { Ok::<_, Infallible>(answer(&host, request.uri()).await) }
     });
     // A peer whose connection breaks asks again elsewhere.
     let _ = http1::Builder::new()
@@ -94,17 +95,28 @@
 
 async fn answer<C: Clock>(
     host: &Arc<Host<C>>,
-    path: &str,
+    uri: &Uri,
 ) -> Response<StreamBody<impl Stream<Item = Result<Frame<Bytes>, Infallible>> + use<C>>> {
-    let found = match parse(path) {
+    if uri.path() == relay::PATH {
+        let query = uri.query().unwrap_or_default();
+        let (board, contact) = (&host.board, &host.contact);
+        let found = relay::answer(board, contact, &host.cache, query, &host.clock).await;
+        return respond(host, found, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let found = match parse(uri.path()) {
         Some((model, version, Item::Manifest)) => manifest(host, model, version).await,
         Some((model, version, Item::Chunk(index))) => chunk(host, model, version, index).await,
         None => None,
     };
-    let status = match found {
-        Some(_) => StatusCode::OK,
-        None => StatusCode::NOT_FOUND,
-    };
+    respond(host, found, StatusCode::NOT_FOUND)
+}
+
+fn respond<C: Clock>(
+    host: &Arc<Host<C>>,
+    found: Option<Bytes>,
+    absent: StatusCode,
+) -> Response<StreamBody<impl Stream<Item = Result<Frame<Bytes>, Infallible>> + use<C>>> {
+    let status = found.as_ref().map_or(absent, |_| StatusCode::OK);
     let rest = found.unwrap_or_default();
     let mut response = Response::new(StreamBody::new(slices(host.clone(), rest)));
     *response.status_mut() = status;
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,6 +9,7 @@
 
 pub mod follow;
 pub mod message;
+pub mod relay;
 pub mod settings;
 pub mod stop;
 
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -2,16 +2,18 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use log::{info, warn};
+use log::{debug, info, warn};
 use parking_lot::Mutex;
-use std::sync::Arc;
+use tokio::sync::watch;
 use tokio::time;
 
 use crate::clock::Clock;
 use crate::fleet::catalog::{Catalog, Known, Topic};
-use crate::node::Board;
+use crate::node::settings::Settings;
+use crate::node::{Board, relay};
 use crate::platform::decode;
 use crate::platform::store::{Client, Error, Event, List, Object};
 
@@ -19,7 +21,15 @@
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// Pause after a change of targets: changes come in groups, and each call costs. Well
 /// within the time after which a leaving target gets no more requests.
-const GROUP_PAUSE: Duration = Duration::from_millis(400);
+const TARGET_PAUSE: Duration = Duration::from_millis(600);
+/// Pause after a change of the configuration or of releases, which may come in quick
+/// succession.
+const CHANGE_PAUSE: Duration = Duration::from_millis(150);
+/// Time between two proofs that the store is in reach; followers of a scout turn away
+/// from it when the last one is too old.
+const PROOF_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for the answer to a proof.
+const PROOF_LIMIT: Duration = Duration::from_millis(400);
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
@@ -47,56 +57,100 @@
     }
 }
 
-/// Keeps `topic` of the board current until the process ends.
-pub async fn run<C: Clock>(
+/// Follows the store and, where that saves calls, the scouts of the region.
+pub fn start<C: Clock>(settings: &Settings, board: &Board, clock: &C) -> Contact {
+    let contact = Contact::default();
+    let (direct, is_direct) = watch::channel(true);
+    for topic in Topic::ALL {
+        tokio::spawn(run(
+            topic,
+            settings.store,
+            board.clone(),
+            contact.clone(),
+            is_direct.clone(),
+            clock.clone(),
+        ));
+    }
+    let own = settings.target.as_ref().map(|_| settings.messages());
+    tokio::spawn(relay::run(
+        board.clone(),
+        settings.centres(),
+        settings.ports[0],
+        own,
+        direct,
+        clock.clone(),
+    ));
+    if own.is_some() {
+        let store = settings.store;
+        tokio::spawn(prove(store, contact.clone(), is_direct, clock.clone()));
+    }
+    contact
+}
+
+/// Proves at intervals that a scout still reaches the store, so that its followers know
+/// how fresh its knowledge is while nothing changes.
+async fn prove<C: Clock>(
+    store: SocketAddr,
+    contact: Contact,
+    mut direct: watch::Receiver<bool>,
+    clock: C,
+) {
+    loop {
+        if direct.wait_for(|direct| *direct).await.is_err() {
+            return;
+        }
+        time::sleep(PROOF_INTERVAL).await;
+        let mut client = Client::new(store);
+        match time::timeout(PROOF_LIMIT, client.touch()).await {
+            Ok(Ok(())) => contact.note(clock.now()),
+            Ok(Err(e)) => {
+                let reason = e.to_string();
+                debug!(reason = reason.as_str(); "store not reached");
+            }
+            Err(_) => debug!("store silent"),
+        }
+    }
+}
+
+/// Keeps `topic` of the board current while this node follows the store itself.
+async fn run<C: Clock>(
     topic: Topic,
     store: SocketAddr,
     board: Board,
     contact: Contact,
+    mut direct: watch::Receiver<bool>,
     clock: C,
 ) {
-    let mut client = Client::new(store);
     let mut follower = Follower {
         topic,
         board,
+        contact,
         clock,
         has_changed: false,
         rejected: BTreeSet::new(),
     };
-    let mut pause = FIRST_PAUSE;
-    let mut revision = None;
-    let mut is_lost = false;
     loop {
-        let result = follower.step(&mut client, revision).await;
-        match result {
-            Ok(next) => {
-                contact.note(follower.clock.now());
-                if is_lost {
-                    info!(topic = topic.name(), revision = next; "store back");
-                    is_lost = false;
-                }
-                pause = FIRST_PAUSE;
-                revision = Some(next);
-            }
-            Err(Error::Compacted { revision: asked }) => {
-                info!(topic = topic.name(), revision = asked; "store history gone, listing again");
-                revision = None;
-            }
-            Err(e) => {
-                if !is_lost {
-                    warn!(topic = topic.name(), revision, reason = e.to_string().as_str(); "store lost");
-                    is_lost = true;
-                }
-                time::sleep(pause).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
-            }
+        if direct.wait_for(|direct| *direct).await.is_err() {
+            return;
+        }
+        tokio::select! {
+            () = follower.follow(store) => {}
+            _ = direct.wait_for(|direct| !*direct) => {}
         }
     }
 }
 
+fn group_pause(topic: Topic) -> Duration {
+    match topic {
+        Topic::Targets => TARGET_PAUSE,
+        Topic::Config | Topic::Releases => CHANGE_PAUSE,
+    }
+}
+
 struct Follower<C: Clock> {
     topic: Topic,
     board: Board,
+    contact: Contact,
     clock: C,
     /// Whether the last watch brought changes.
     has_changed: bool,
@@ -105,6 +159,43 @@
 }
 
 impl<C: Clock> Follower<C> {
+    /// Lists and watches until it is cancelled.
+    async fn follow(&mut self, store: SocketAddr) {
+        let topic = self.topic;
+        let mut client = Client::new(store);
+        let mut pause = FIRST_PAUSE;
+        let mut revision = None;
+        let mut is_lost = false;
+        loop {
+            match self.step(&mut client, revision).await {
+                Ok(next) => {
+                    self.contact.note(self.clock.now());
+                    if is_lost {
+                        info!(topic = topic.name(), revision = next; "store back");
+                        is_lost = false;
+                    }
+                    pause = FIRST_PAUSE;
+                    revision = Some(next);
+                }
+                Err(Error::Compacted { revision: asked }) => {
+                    info!(topic = topic.name(), revision = asked; "store history gone, listing again");
+                    revision = None;
+                }
+                Err(e) => {
+                    if !is_lost {
+                        let reason = e.to_string();
+                        warn!(topic = topic.name(), revision, reason = reason.as_str(); "store lost");
+                        is_lost = true;
+                    }
+                    // A list carries each object once; the history may carry it many times.
+                    revision = None;
+                    time::sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                }
+            }
+        }
+    }
+
     /// Lists or watches once; returns the revision to continue from.
     async fn step(&mut self, client: &mut Client, revision: Option<u64>) -> Result<u64, Error> {
         let Some(revision) = revision else {
@@ -113,8 +204,8 @@
             self.replace(list);
             return Ok(revision);
         };
-        if self.topic == Topic::Targets && self.has_changed {
-            time::sleep(GROUP_PAUSE).await;
+        if self.has_changed {
+            time::sleep(group_pause(self.topic)).await;
         }
         let changes = client.watch(self.topic, revision, WATCH_WAIT).await?;
         self.has_changed = !changes.events.is_empty();
@@ -216,7 +307,13 @@
             revision,
             value,
         };
-        let changed = self.board.update(|c: &mut Catalog| c.change_target(known));
+        let changed = self.board.update(|c: &mut Catalog| {
+            let changed = c.change_target(known);
+            if changed {
+                c.note_targets(revision);
+            }
+            changed
+        });
         if !changed {
             return;
         }
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -140,6 +140,13 @@
         self.centers.clone().into_iter().collect()
     }
 
+    /// Data centres of the own region, sorted.
+    #[must_use]
+    pub fn centres(&self) -> Vec<String> {
+        let same = self.centers.iter().filter(|(_, r)| **r == self.region);
+        same.map(|(centre, _)| centre.clone()).collect()
+    }
+
     /// Address for messages of other nodes.
     #[must_use]
     pub fn messages(&self) -> SocketAddr {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -175,6 +175,15 @@
         serde_json::from_slice(&body).context(MalformedSnafu)
     }
 
+    /// Makes the cheapest call that proves that the store answers this VM.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer or turns the call away.
+    pub async fn touch(&mut self) -> Result<(), Error> {
+        let path = format!("/objects/{}?stale_ok=1", kind(Topic::Releases));
+        self.get(&path, ANSWER_LIMIT, 0).await.map(|_| ())
+    }
+
     async fn get(&mut self, path: &str, limit: Duration, revision: u64) -> Result<Bytes, Error> {
         // The connection comes back only after a complete answer, so that a late
         // one is never read as the answer to another call.
