--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -38,9 +38,17 @@
     if check {
         return ExitCode::SUCCESS;
     }
-    logging::init("info");
+    let log = match logging::init_bounded(&settings.log.level) {
+        Ok(log) => log,
+        Err(e) => {
+            eprintln!("corianderrampd: can't start the log: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
-    finish(runtime, node::run(settings, file))
+    let status = finish(runtime, node::run(settings, file));
+    log.drain();
+    status
 }
 
 /// Runs an entry or an agent.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,14 +11,16 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
+use crate::blackboard::Phase;
 use crate::clock::Clock;
 use crate::entry::budget::Budget;
 use crate::node::follow::{self, Contact};
 use crate::node::settings::{Listen, Settings};
 use crate::node::stop::Signals;
-use crate::node::{Board, Error, ListenSnafu, MissingSnafu};
+use crate::node::{Board, Error, ListenSnafu, MissingSnafu, metrics_listener};
 use crate::place::patience::Pressure;
 use crate::place::pool::Pool;
+use crate::telemetry;
 
 mod agents;
 mod answer;
@@ -77,6 +79,7 @@
     let socket = UdpSocket::bind(address).await;
     let socket = socket.context(ListenSnafu { address })?;
 
+    telemetry::init();
     let now = clock.now();
     let board = Board::default();
     let contact = follow::start(&settings, &board, &clock);
@@ -94,6 +97,11 @@
         active: std::sync::atomic::AtomicUsize::new(0),
         clock,
     });
+    let metrics = metrics_listener(settings.metrics).await?;
+    if let Some(listener) = metrics {
+        let stop = gateway.closing.clone();
+        tokio::spawn(telemetry::serve(listener, gateway.clone(), stop));
+    }
     tokio::spawn(gateway.clone().sync_pool());
     tokio::spawn(gateway.clone().hear_agents());
     tokio::spawn(gateway.clone().greet_agents());
@@ -115,6 +123,23 @@
     Ok(())
 }
 
+impl<C: Clock> telemetry::Process for Gateway<C> {
+    fn phase(&self) -> Phase {
+        if self.is_stopping() {
+            Phase::Draining
+        } else if self.is_ready() {
+            Phase::Ready
+        } else {
+            Phase::Starting
+        }
+    }
+
+    fn refresh(&self) {
+        telemetry::set_process(self.phase(), self.active());
+        telemetry::set_catalog(&self.board.view());
+    }
+}
+
 impl<C: Clock> Gateway<C> {
     fn active(&self) -> usize {
         self.active.load(std::sync::atomic::Ordering::Relaxed)
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use log::debug;
+use metrics::counter;
 use rand::RngExt;
 use tokio::time;
 
@@ -110,7 +111,7 @@
     /// Body.
     pub body: Incoming,
     /// Connection; closed when dropped.
-    pub connection: net::Connection,
+    pub _connection: net::Connection,
     /// Place at the target.
     pub flight: Flight<C>,
 }
@@ -202,7 +203,14 @@
                 prompt: call.terms.prompt,
                 is_choosy,
             };
-            match self.agents.ask(address, number, &needs).await {
+            let answer = self.agents.ask(address, number, &needs).await;
+            let verdict = match &answer {
+                Some(answer) if answer.is_granted => "granted",
+                Some(_) => "refused",
+                None => "silent",
+            };
+            counter!("corianderramp_gateway_asks_total", "verdict" => verdict).increment(1);
+            match answer {
                 Some(answer) if answer.is_granted => {
                     return Ok(Flight::begin(self, key, address, Some(number)));
                 }
@@ -277,7 +285,7 @@
         Ok(Started {
             head,
             body,
-            connection,
+            _connection: connection,
             flight,
         })
     }
@@ -323,7 +331,13 @@
     ) -> Result<Started<C>, NoPlace> {
         loop {
             let flight = self.place(call, trace).await?;
-            match self.send(call, flight, trace, after).await {
+            let sent = self.send(call, flight, trace, after).await;
+            let result = match &sent {
+                Ok(_) => "answered",
+                Err(Failure::NotRun(reason) | Failure::MayHaveRun(reason)) => reason,
+            };
+            counter!("corianderramp_gateway_sends_total", "result" => result).increment(1);
+            match sent {
                 Ok(started) => return Ok(started),
                 Err(Failure::NotRun(reason)) => trace.reason = reason,
                 Err(Failure::MayHaveRun(reason)) => {
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -42,12 +42,6 @@
         Some(whole)
     }
 
-    /// Bytes after the last whole event.
-    #[must_use]
-    pub fn rest(self) -> Bytes {
-        self.rest.freeze()
-    }
-
     /// Whether the stream stands at the end of an event.
     #[must_use]
     pub fn is_whole(&self) -> bool {
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 use log::info;
+use metrics::{counter, histogram};
 use rand::RngExt;
 use tokio::time;
 
@@ -92,6 +93,11 @@
     fn drop(&mut self) {
         let now = self.gateway.clock.now();
         let took = now.saturating_duration_since(self.begin);
+        counter!("corianderramp_gateway_requests_total", "outcome" => self.outcome).increment(1);
+        histogram!("corianderramp_gateway_duration_seconds").record(took);
+        if self.last.is_some() {
+            histogram!("corianderramp_gateway_first_seconds").record(self.first);
+        }
         info!(
             id = self.id.as_str(),
             route = self.route.as_str(),
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -18,6 +18,8 @@
 use crate::gateway::Gateway;
 use crate::platform::request;
 
+/// Time without the store and all hosts after which this VM counts as cut off.
+const CUT_OFF: Duration = Duration::from_secs(4);
 /// Pause after a failed accept, so that a lack of descriptors does not use up the processor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -56,8 +58,14 @@
 }
 
 impl<C: Clock> Gateway<C> {
-    /// Whether new connections can be served.
+    /// Whether new connections can be served: not while stopping, without a configuration,
+    /// or cut off from the store and from all hosts.
     pub(super) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.board.view().config.is_some()
+        if self.is_stopping() || self.board.view().config.is_none() {
+            return false;
+        }
+        let now = self.clock.now();
+        let store = self.contact.age(now).is_some_and(|age| age < CUT_OFF);
+        store || self.pool.lock().iter().any(|(_, e)| e.has_agent(now))
     }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -12,18 +12,21 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, watch};
 use tokio::time;
+use tokio_util::sync::CancellationToken;
 
+use crate::blackboard::Phase;
 use crate::clock::Clock;
 use crate::digest::Digest;
-use crate::fleet::Phase;
+use crate::fleet;
 use crate::node::follow::{self, Contact};
 use crate::node::settings::{Bounds, Settings};
 use crate::node::stop::Signals;
-use crate::node::{Board, Error, ListenSnafu, MissingSnafu, relay};
+use crate::node::{Board, Error, ListenSnafu, MissingSnafu, metrics_listener, relay};
 use crate::place::ledger::Ledger;
 use crate::place::pace::Pace;
 use crate::platform::engine::{self, Report};
 use crate::rendezvous;
+use crate::telemetry;
 
 mod chunks;
 mod exchange;
@@ -98,6 +101,7 @@
     let socket = socket.context(ListenSnafu { address })?;
     let listener = TcpListener::bind(address).await;
     let listener = listener.context(ListenSnafu { address })?;
+    telemetry::init();
     let board = Board::default();
     let contact = follow::start(&settings, &board, &clock);
     let host = Arc::new(Host {
@@ -126,6 +130,10 @@
         regions: settings.regions(),
         clock,
     });
+    if let Some(listener) = metrics_listener(settings.metrics).await? {
+        let stop = CancellationToken::new();
+        tokio::spawn(telemetry::serve(listener, host.clone(), stop));
+    }
     tokio::spawn(host.clone().size_ledger());
     tokio::spawn(host.clone().watch_target());
     tokio::spawn(host.clone().hear_gateways());
@@ -139,6 +147,22 @@
     Ok(())
 }
 
+impl<C: Clock> telemetry::Process for Host<C> {
+    fn phase(&self) -> Phase {
+        if self.ledger.lock().is_open() {
+            Phase::Ready
+        } else {
+            Phase::Starting
+        }
+    }
+
+    fn refresh(&self) {
+        let active = self.ledger.lock().active();
+        telemetry::set_process(telemetry::Process::phase(self), active as usize);
+        telemetry::set_catalog(&self.board.view());
+    }
+}
+
 impl<C: Clock> Host<C> {
     /// Name by which hosts sort each other.
     fn name(&self) -> String {
@@ -181,7 +205,7 @@
         let view = self.board.view();
         let near = view.targets.iter().map(|t| &t.value).filter(|t| {
             t.service == self.service
-                && t.phase == Phase::Ready
+                && t.phase == fleet::Phase::Ready
                 && t.weights.is_some()
                 && self.region(&t.centre) == self.region
         });
@@ -281,7 +305,7 @@
         };
         let view = self.board.view();
         let registered = view.targets.iter().find(|t| t.value.address == self.target);
-        if registered.is_some_and(|t| t.value.phase == Phase::Draining) {
+        if registered.is_some_and(|t| t.value.phase == fleet::Phase::Draining) {
             return Some("draining");
         }
         let bound = self.bounds.weights().saturating_sub(DUE_MARGIN);
--- a/src/host/fetch.rs
+++ b/src/host/fetch.rs
@@ -8,6 +8,7 @@
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use log::{info, warn};
+use metrics::counter;
 
 use crate::clock::Clock;
 use crate::host::{Host, serve};
@@ -115,6 +116,8 @@
         if !self.chunks.insert(manifest, index, &data) {
             return Err(Failure::Corrupt { bytes: data.len() });
         }
+        let kind = if address.is_some() { "peer" } else { "origin" };
+        counter!("corianderramp_chunks_total", "source" => kind).increment(1);
         let took = self.clock.now().saturating_duration_since(began);
         let ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
         let source = address.map_or_else(|| "origin".to_owned(), |a| a.to_string());
--- a/src/host/switch.rs
+++ b/src/host/switch.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use log::{info, warn};
+use metrics::counter;
 use tokio::time;
 
 use crate::clock::Clock;
@@ -209,7 +210,15 @@
         self.set_open(false, "switching");
         time::sleep(ARRIVAL).await;
         let accepted = self.engine.borrow().orders;
-        match engine::load(self.target, model, version, accepted, ORDER_LIMIT).await {
+        let ordered = engine::load(self.target, model, version, accepted, ORDER_LIMIT).await;
+        let outcome = match &ordered {
+            Ok(Ordered::Begun) => "begun",
+            Ok(Ordered::Done) => "done",
+            Ok(Ordered::Conflict) => "conflict",
+            Err(_) => "unanswered",
+        };
+        counter!("corianderramp_orders_total", "outcome" => outcome).increment(1);
+        match ordered {
             Ok(ordered) => {
                 info!(model, version, accepted, outcome:? = ordered; "order");
                 if ordered == Ordered::Begun {
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -10,6 +10,8 @@
 use logforth::record::Record;
 use logforth::{Diagnostic, Error, Layout, append, starter_log};
 
+pub mod bounded;
+
 /// Writes events of `level` and above to standard error, one line each.
 ///
 /// An unknown level counts as `info`; settings are checked before. Further
@@ -24,6 +26,22 @@
     log::set_max_level(level.parse().unwrap_or(LevelFilter::Info));
 }
 
+/// Writes events of `level` and above to standard output without ever waiting for it.
+/// The returned appender drains what is left before the process ends.
+///
+/// # Errors
+/// Fails when the writer's thread can't be started.
+pub fn init_bounded(level: &str) -> std::io::Result<bounded::Bounded> {
+    let append = bounded::Bounded::new(std::io::stdout())?;
+    let kept = append.clone();
+    // Fails only when a logger is set already, which then stays in use.
+    let _ = starter_log::builder()
+        .dispatch(|d| d.append(append))
+        .try_apply();
+    log::set_max_level(level.parse().unwrap_or(LevelFilter::Info));
+    Ok(kept)
+}
+
 /// Layout of one event as key=value pairs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct KeyValue;
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::fleet::catalog::Catalog;
@@ -74,6 +75,20 @@
     }
 }
 
+/// Listener for metrics, if the settings name an address.
+///
+/// # Errors
+/// Fails when the address is taken or not local.
+pub(crate) async fn metrics_listener(
+    address: Option<std::net::SocketAddr>,
+) -> Result<Option<TcpListener>, Error> {
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    let listener = TcpListener::bind(address).await;
+    listener.context(ListenSnafu { address }).map(Some)
+}
+
 /// Runs the node that the settings describe until it is told to stop.
 ///
 /// # Errors
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use log::{debug, info, warn};
+use metrics::counter;
 use parking_lot::Mutex;
 use tokio::sync::watch;
 use tokio::time;
@@ -167,7 +168,15 @@
         let mut revision = None;
         let mut is_lost = false;
         loop {
-            match self.step(&mut client, revision).await {
+            let stepped = self.step(&mut client, revision).await;
+            let result = match &stepped {
+                Ok(_) => "answered",
+                Err(Error::Compacted { .. }) => "compacted",
+                Err(_) => "failed",
+            };
+            counter!("corianderramp_store_calls_total", "topic" => topic.name(), "result" => result)
+                .increment(1);
+            match stepped {
                 Ok(next) => {
                     self.contact.note(self.clock.now());
                     if is_lost {
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
-use crate::settings::{Error, ParseSnafu, ReadSnafu};
+use crate::settings::{Error, Log, ParseSnafu, ReadSnafu};
 
 /// What a node does.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -52,6 +52,12 @@
     pub link_mbps: f64,
     /// Time limits of the deployment.
     pub bounds: Bounds,
+    /// Address at which metrics are served.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub metrics: Option<SocketAddr>,
+    /// Log output.
+    #[serde(default)]
+    pub log: Log,
 }
 
 /// Addresses that a gateway listens at.
@@ -125,6 +131,12 @@
         if !(self.link_mbps > 0.0) {
             return Err(("link_mbps", "must be over 0"));
         }
+        if self.log.level.parse::<log::LevelFilter>().is_err() {
+            return Err((
+                "log.level",
+                "must be off, error, warn, info, debug or trace",
+            ));
+        }
         match self.role {
             Role::Gateway if self.listen.is_none() => {
                 Err(("listen", "is needed by the role gateway"))
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::blackboard::{Blackboard, Phase};
+use crate::fleet::catalog::{Catalog, Topic};
 
 /// Type of a metric.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -56,8 +57,11 @@
 /// Epoch of the coordinator that the process knows.
 const EPOCH: &str = "corianderramp_coordinator_epoch";
 
+/// Store revision up to which a topic is known.
+const CATALOG_REVISION: &str = "corianderramp_catalog_revision";
+
 /// All metrics. docs/operations/metrics.md says what to do when one moves.
-pub const METRICS: [Metric; 12] = [
+pub const METRICS: [Metric; 21] = [
     Metric {
         name: REQUESTS,
         kind: Type::Counter,
@@ -130,6 +134,60 @@
         labels: &[],
         help: "Generation that this agent's engine serves, 0 for none",
     },
+    Metric {
+        name: "corianderramp_gateway_requests_total",
+        kind: Type::Counter,
+        labels: &["outcome"],
+        help: "Ended requests of callers at a gateway by outcome",
+    },
+    Metric {
+        name: "corianderramp_gateway_first_seconds",
+        kind: Type::Histogram,
+        labels: &[],
+        help: "Time from a request to the first bytes of its answer at a gateway",
+    },
+    Metric {
+        name: "corianderramp_gateway_duration_seconds",
+        kind: Type::Histogram,
+        labels: &[],
+        help: "Time from a request to its end at a gateway",
+    },
+    Metric {
+        name: "corianderramp_gateway_sends_total",
+        kind: Type::Counter,
+        labels: &["result"],
+        help: "Requests sent to targets, by result",
+    },
+    Metric {
+        name: "corianderramp_gateway_asks_total",
+        kind: Type::Counter,
+        labels: &["verdict"],
+        help: "Places asked for at hosts: granted, refused or silent",
+    },
+    Metric {
+        name: CATALOG_REVISION,
+        kind: Type::Gauge,
+        labels: &["topic"],
+        help: "Store revision up to which a gateway or host knows a topic",
+    },
+    Metric {
+        name: "corianderramp_store_calls_total",
+        kind: Type::Counter,
+        labels: &["topic", "result"],
+        help: "Calls to the platform's store: answered, compacted or failed",
+    },
+    Metric {
+        name: "corianderramp_chunks_total",
+        kind: Type::Counter,
+        labels: &["source"],
+        help: "Chunks that a host received from peers or from the origin",
+    },
+    Metric {
+        name: "corianderramp_orders_total",
+        kind: Type::Counter,
+        labels: &["outcome"],
+        help: "Orders that a host gave to its engine: begun, done, conflict or unanswered",
+    },
 ];
 
 /// Upper bounds of histogram buckets, seconds: the objectives of 39 ms between
@@ -173,16 +231,57 @@
     }
 }
 
+/// Sets the gauges of what a node knows and does.
+#[allow(clippy::cast_precision_loss)]
+pub(crate) fn set_catalog(catalog: &Catalog) {
+    for topic in Topic::ALL {
+        let gauge = metrics::gauge!(CATALOG_REVISION, "topic" => topic.name());
+        gauge.set(catalog.revision(topic) as f64);
+    }
+}
+
+/// Sets the gauges that all processes have.
+#[allow(clippy::cast_precision_loss)]
+pub(crate) fn set_process(phase: Phase, active: usize) {
+    metrics::gauge!(PHASE).set(f64::from(phase as u8));
+    metrics::gauge!(ACTIVE).set(active as f64);
+}
+
 /// Counter of the requests of `service` that ended with `outcome`.
 pub(crate) fn outcomes(service: &str, outcome: &'static str) -> Counter {
     metrics::counter!(REQUESTS, "service" => service.to_owned(), "outcome" => outcome)
 }
 
+/// Process whose metrics are served.
+pub trait Process: Send + Sync + 'static {
+    /// Phase of the process.
+    fn phase(&self) -> Phase;
+    /// Sets the gauges to what they are now.
+    fn refresh(&self);
+}
+
+impl Process for Blackboard {
+    fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn refresh(&self) {
+        metrics::gauge!(PHASE).set(f64::from(*self.phase.borrow() as u8));
+        metrics::gauge!(CONFIG_REVISION).set(self.view().complete as f64);
+        metrics::gauge!(ACTIVE).set(f64::from(*self.active.borrow()));
+        let generation = self.serving.borrow().as_ref().map_or(0, |s| s.generation);
+        metrics::gauge!(SERVING).set(generation as f64);
+        let epoch = self.coordinator.borrow().as_ref().map_or(0, |c| c.epoch);
+        metrics::gauge!(EPOCH).set(epoch as f64);
+    }
+}
+
 /// Serves `/metrics`, `/livez` and `/readyz` until `stop` is cancelled.
 ///
 /// `/livez` is 200 while the process runs; `/readyz` is 200 only in phase
 /// `Ready` and names the phase otherwise, with 503.
-pub async fn serve(listener: TcpListener, board: Arc<Blackboard>, stop: CancellationToken) {
+pub async fn serve<P: Process>(listener: TcpListener, board: Arc<P>, stop: CancellationToken) {
     init();
     let mut upkeep = time::interval(UPKEEP_INTERVAL);
     loop {
@@ -205,9 +304,9 @@
     }
 }
 
-async fn connection(stream: TcpStream, board: Arc<Blackboard>, stop: CancellationToken) {
+async fn connection<P: Process>(stream: TcpStream, board: Arc<P>, stop: CancellationToken) {
     let service = service_fn(move |request| {
-        let answer = answer(&request, &board);
+        let answer = answer(&request, &*board);
         async move { Ok::<_, Infallible>(answer) }
     });
     let served = http1::Builder::new()
@@ -221,14 +320,14 @@
     }
 }
 
-fn answer(request: &Request<Incoming>, board: &Blackboard) -> Response<Full<Bytes>> {
+fn answer<P: Process>(request: &Request<Incoming>, board: &P) -> Response<Full<Bytes>> {
     if request.method() != Method::GET && request.method() != Method::HEAD {
         return text(StatusCode::METHOD_NOT_ALLOWED, "use GET\n");
     }
     match request.uri().path() {
         "/metrics" => metrics_page(board),
         "/livez" => text(StatusCode::OK, "ok\n"),
-        "/readyz" => readiness(*board.phase.borrow()),
+        "/readyz" => readiness(board.phase()),
         _ => text(StatusCode::NOT_FOUND, "try /metrics, /livez or /readyz\n"),
     }
 }
@@ -241,15 +340,8 @@
     }
 }
 
-#[allow(clippy::cast_precision_loss)]
-fn metrics_page(board: &Blackboard) -> Response<Full<Bytes>> {
-    metrics::gauge!(PHASE).set(f64::from(*board.phase.borrow() as u8));
-    metrics::gauge!(CONFIG_REVISION).set(board.view().complete as f64);
-    metrics::gauge!(ACTIVE).set(f64::from(*board.active.borrow()));
-    let generation = board.serving.borrow().as_ref().map_or(0, |s| s.generation);
-    metrics::gauge!(SERVING).set(generation as f64);
-    let epoch = board.coordinator.borrow().as_ref().map_or(0, |c| c.epoch);
-    metrics::gauge!(EPOCH).set(epoch as f64);
+fn metrics_page<P: Process>(board: &P) -> Response<Full<Bytes>> {
+    board.refresh();
     let page = RECORDER.get().and_then(Option::as_ref);
     let page = page.map(PrometheusHandle::render).unwrap_or_default();
     respond(StatusCode::OK, METRICS_TYPE, page.into())
