--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -33,7 +33,7 @@
 
 /// Time from SIGTERM until new connections are no longer accepted: two readiness probes,
 /// a second apart, must fail first.
-const ACCEPT_GRACE: Duration = Duration::from_millis(3_000);
+const ACCEPT_GRACE: Duration = Duration::from_secs(3);
 /// Time before the end of the stop limit at which the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Time between two looks at the requests in progress while stopping.
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -22,7 +22,7 @@
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
 /// Pause between events after which a target counts as silent. Callers leave after two
 /// seconds, so that another target must continue well before.
-const MAX_PAUSE: Duration = Duration::from_millis(1_000);
+const MAX_PAUSE: Duration = Duration::from_secs(1);
 
 /// The answer broke off; the caller's connection is closed without a proper end.
 #[derive(Clone, Copy, Debug)]
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -260,7 +260,7 @@
         *message.uri_mut() = call.uri.clone();
         *message.headers_mut() = request::forward(&call.headers, &envelope);
         trace.sends += 1;
-        let limit = self.head_limit(call, trace, left);
+        let limit = Self::head_limit(call, trace, left);
         let answered = time::timeout(limit, connection.send(message)).await;
         let (head, body) = match answered {
             Ok(Ok(answer)) => answer.into_parts(),
@@ -302,7 +302,7 @@
 
     /// Time to wait for the head of an answer: as long as the caller waits, unless
     /// another target can still be tried.
-    fn head_limit(&self, call: &Call, trace: &Trace, left: Duration) -> Duration {
+    fn head_limit(call: &Call, trace: &Trace, left: Duration) -> Duration {
         let route = call.route();
         let more = trace.sends < route.attempts && route.class.repeatable();
         if more {
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -64,3 +64,7 @@
     let text = std::str::from_utf8(ids.next()?).ok()?;
     text.trim().parse().ok()
 }
+
+#[cfg(test)]
+#[path = "events_test.rs"]
+mod test;
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -14,7 +14,7 @@
 use tokio::time;
 
 use crate::clock::Clock;
-use crate::fleet::{Account, routes};
+use crate::fleet::{self, Account, routes};
 use crate::gateway::Gateway;
 use crate::gateway::answer::{self, Broken, Relay};
 use crate::gateway::attempt::{self, Call, NoPlace, Started, Trace};
@@ -205,7 +205,7 @@
         let host = host.split(':').next().unwrap_or_default();
         let route = routes::find(&config, host, parts.uri.path()).ok_or(NO_ROUTE)?;
         record.route.clone_from(&route.name);
-        let account = self.account(&config, route.public, terms.key.as_deref())?;
+        let account = account(&config, route.public, terms.key.as_deref())?;
         let wait = terms.wait.unwrap_or(USUAL_WAIT).min(route.timeout);
         let until = record.begin + wait.saturating_sub(ANSWER_MARGIN);
         let ranked = account.and_then(|a| a.priority);
@@ -235,23 +235,6 @@
         Ok(call)
     }
 
-    /// Account of a key; routes that need none have none.
-    fn account<'a>(
-        &self,
-        config: &'a crate::fleet::Config,
-        is_public: bool,
-        key: Option<&str>,
-    ) -> Result<Option<&'a Account>, Refusal> {
-        if config.accounts.is_empty() {
-            return Ok(None);
-        }
-        let account = key.and_then(|k| config.account(k));
-        if account.is_none() && !is_public {
-            return Err(NO_KEY);
-        }
-        Ok(account.filter(|_| !is_public))
-    }
-
     /// Gets a request answered by a target.
     async fn serve(
         self: &Arc<Self>,
@@ -284,7 +267,7 @@
                 record.status = started.head.status.as_u16();
                 let mut relay = Relay::new(self, call, started, record);
                 let Err(reason) = relay.open().await else {
-                    return Ok(Served::Stream(relay));
+                    return Ok(Served::Stream(Box::new(relay)));
                 };
                 (call, record) = relay.abandon();
                 record.trace.reason = reason;
@@ -295,15 +278,13 @@
                 }
                 continue;
             }
-            match self.whole(&call, started, &mut record).await {
-                Ok(whole) => return Ok(Served::Whole(whole)),
-                Err(Broken) => {
-                    record.trace.reason = "answer broke off";
-                    record.trace.may_have_run = true;
-                    if !self.may_resend(&call, &record.trace) {
-                        return Err((BROKEN, record));
-                    }
-                }
+            if let Ok(whole) = self.whole(&call, started, &mut record).await {
+                return Ok(Served::Whole(whole));
+            }
+            record.trace.reason = "answer broke off";
+            record.trace.may_have_run = true;
+            if !self.may_resend(&call, &record.trace) {
+                return Err((BROKEN, record));
             }
         }
     }
@@ -349,6 +330,22 @@
     }
 }
 
+/// Account of a key; routes that need none have none.
+fn account<'a>(
+    config: &'a fleet::Config,
+    is_public: bool,
+    key: Option<&str>,
+) -> Result<Option<&'a Account>, Refusal> {
+    if config.accounts.is_empty() {
+        return Ok(None);
+    }
+    let account = key.and_then(|k| config.account(k));
+    if account.is_none() && !is_public {
+        return Err(NO_KEY);
+    }
+    Ok(account.filter(|_| !is_public))
+}
+
 /// Makes the answer of a refusal.
 fn refuse<C: Clock>(refusal: Refusal, record: &mut Record<C>) -> Whole {
     record.finish(refusal.outcome);
@@ -365,10 +362,10 @@
 
 enum Served<C: Clock> {
     Whole(Whole),
-    Stream(Relay<C>),
+    Stream(Box<Relay<C>>),
 }
 
-fn position(routes: &[crate::fleet::Route], route: &crate::fleet::Route) -> usize {
+fn position(routes: &[fleet::Route], route: &fleet::Route) -> usize {
     routes
         .iter()
         .position(|r| std::ptr::eq(r, route))
--- a/src/host.rs
+++ b/src/host.rs
@@ -43,7 +43,7 @@
 /// Time that a load takes beyond the end of the running requests, at most.
 const LOAD_LIMIT: Duration = Duration::from_secs(12);
 /// Time for reading a staged chunk for a peer.
-const STAGE_LIMIT: Duration = Duration::from_millis(1_000);
+const STAGE_LIMIT: Duration = Duration::from_secs(1);
 /// Part of the bound for new weights that is kept as a margin, so that a request that
 /// waits at the target still begins in time.
 const DUE_MARGIN: Duration = Duration::from_millis(700);
--- a/src/host/fetch.rs
+++ b/src/host/fetch.rs
@@ -19,9 +19,9 @@
 /// Time for opening a connection to a peer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Time for a chunk from a peer, beside transfers to others.
-const PEER_LIMIT: Duration = Duration::from_millis(2_000);
+const PEER_LIMIT: Duration = Duration::from_secs(2);
 /// Time for a chunk or manifest from the origin, whose link all share.
-const ORIGIN_LIMIT: Duration = Duration::from_millis(3_000);
+const ORIGIN_LIMIT: Duration = Duration::from_secs(3);
 /// Largest item that is read, bytes.
 const MAX_ITEM: usize = 4 * 1024 * 1024;
 
--- a/src/host/plan.rs
+++ b/src/host/plan.rs
@@ -27,3 +27,7 @@
 pub fn skips(named: Instant, newer: Instant, bound: Duration) -> bool {
     newer + FIRST_WAVE + BOUND_MARGIN <= named + bound
 }
+
+#[cfg(test)]
+#[path = "plan_test.rs"]
+mod test;
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -22,7 +22,7 @@
 use crate::node::relay;
 
 /// Time in which the origin sends a manifest for a peer.
-const MANIFEST_WAIT: Duration = Duration::from_millis(1_000);
+const MANIFEST_WAIT: Duration = Duration::from_secs(1);
 /// Bytes that are sent at once; on the narrowest links of today's sites they take 4 ms.
 const SLICE: usize = 4_096;
 /// Share of the VM's link that uploads use while its target serves requests.
--- a/src/host/switch.rs
+++ b/src/host/switch.rs
@@ -17,11 +17,11 @@
 /// Time between two looks at what is to be done.
 const INTERVAL: Duration = Duration::from_millis(50);
 /// Time for storing or reading a chunk in the staging area on this VM.
-const STAGE_LIMIT: Duration = Duration::from_millis(1_000);
+const STAGE_LIMIT: Duration = Duration::from_secs(1);
 /// Pause after no source had a manifest.
 const MANIFEST_PAUSE: Duration = Duration::from_millis(300);
 /// Time for the answer to an order.
-const ORDER_LIMIT: Duration = Duration::from_millis(1_000);
+const ORDER_LIMIT: Duration = Duration::from_secs(1);
 /// Time for requests that were granted just before the target closed to arrive there.
 const ARRIVAL: Duration = Duration::from_millis(15);
 /// Version that a model has before any is named.
--- a/src/logging/bounded.rs
+++ b/src/logging/bounded.rs
@@ -150,3 +150,7 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+#[path = "bounded_test.rs"]
+mod test;
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -37,7 +37,7 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
 /// Age at which a listed release is taken: its naming was not seen, so it may be due soon.
-const LISTED_AGE: Duration = Duration::from_millis(5_000);
+const LISTED_AGE: Duration = Duration::from_secs(5);
 
 /// Time of the last answer of the store to any topic.
 #[derive(Clone, Debug, Default)]
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -38,7 +38,7 @@
 /// Time after which a scout answers even if nothing changed.
 const HOLD: Duration = Duration::from_millis(400);
 /// Time for an answer of a scout.
-const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
+const ANSWER_LIMIT: Duration = Duration::from_secs(1);
 /// Age of a scout's contact with the store up to which it is followed. With the time for
 /// noticing it, changes arrive well within the two seconds that the deployments allow.
 const MAX_AGE: Duration = Duration::from_millis(1_100);
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -128,7 +128,7 @@
         if self.bounds.stop_ms == 0 {
             return Err(("bounds.stop_ms", "must be over 0"));
         }
-        if !(self.link_mbps > 0.0) {
+        if self.link_mbps.is_nan() || self.link_mbps <= 0.0 {
             return Err(("link_mbps", "must be over 0"));
         }
         if self.log.level.parse::<log::LevelFilter>().is_err() {
--- a/src/place/patience.rs
+++ b/src/place/patience.rs
@@ -11,6 +11,8 @@
 const LEAST: Duration = Duration::from_millis(250);
 /// Longest wait before a return.
 const MOST: Duration = Duration::from_millis(2_500);
+/// Part of the range over which even a few refused callers are spread.
+const LEAST_SPREAD: f64 = 0.1;
 /// Part of the remaining time that callers are willing to wait, by the users' protocol.
 const WILLING: f64 = 1.0 / 3.0;
 /// Time over which refusals are counted.
@@ -62,8 +64,9 @@
         let least = LEAST.min(most);
         // At a small share of refusals, places free up at once; at a large one, only the
         // end of what callers accept gives them a better chance.
-        let span = (most - least).mul_f64(self.refused().max(0.1));
-        let first = least + (most - least - span).mul_f64(self.refused());
+        let range = most.saturating_sub(least);
+        let span = range.mul_f64(self.refused().max(LEAST_SPREAD));
+        let first = least + range.saturating_sub(span).mul_f64(self.refused());
         first + span.mul_f64(draw)
     }
 
--- a/src/place/pool.rs
+++ b/src/place/pool.rs
@@ -230,8 +230,8 @@
                 && !want.tried.contains(key)
                 && fits(e, want, now)
         });
-        let ranked = usable.map(|(key, e)| (cost(e, want, now) + draw(), key));
-        let best = ranked.min_by(|a, b| a.0.total_cmp(&b.0));
+        let rated = usable.map(|(key, e)| (cost(e, want, now) + draw(), key));
+        let best = rated.min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, key)| key)
     }
 
@@ -270,10 +270,11 @@
     let load = match (want.weights, entry.state(now)) {
         (Some(_), Some(state)) => {
             let age = now.saturating_duration_since(state.heard);
-            let wait = state.wait.saturating_sub(age).as_secs_f64() / WAIT_UNIT.as_secs_f64();
+            let left = state.wait.saturating_sub(age);
+            let queue = left.as_secs_f64() / WAIT_UNIT.as_secs_f64();
             let part = f64::from(state.free) / f64::from(entry.target.slots.max(1));
             let near = if far { FAR_COST } else { 0.0 };
-            near + wait + LOAD_COST * (1.0 - part.min(1.0))
+            near + queue + LOAD_COST * (1.0 - part.min(1.0))
         }
         (Some(_), None) => BLIND_COST + f64::from(entry.active),
         (None, _) => {
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -160,11 +160,11 @@
         services,
         keys,
         accounts,
-        limits: wire.limits.map(limits).unwrap_or_default(),
+        limits: wire.limits.as_ref().map(limits).unwrap_or_default(),
     })
 }
 
-fn limits(wire: WireLimits) -> Limits {
+fn limits(wire: &WireLimits) -> Limits {
     Limits {
         head: wire.max_header_bytes,
         body: wire.max_body_bytes,
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -197,12 +197,13 @@
             return RefusedSnafu { path, status }.fail();
         }
         self.connection = Some(connection);
-        let wire = serde_json::from_slice(answer.body()).context(MalformedSnafu { path })?;
-        Ok(decode(wire))
+        let wire: WireReport =
+            serde_json::from_slice(answer.body()).context(MalformedSnafu { path })?;
+        Ok(decode(&wire))
     }
 }
 
-fn decode(wire: WireReport) -> Report {
+fn decode(wire: &WireReport) -> Report {
     let complete = wire.layers.as_ref().is_none_or(|l| l.from == 0 && l.to > 0);
     let layered = wire.layers.as_ref().map(|l| l.version);
     let held = layered.or_else(|| wire.models.first().map(|m| m.version));
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -16,7 +16,7 @@
 /// Largest answer of the store, bytes; a page holds about 1 MB.
 const MAX_ANSWER: usize = 4 * 1024 * 1024;
 /// Time for opening a connection to the store.
-const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 /// Time beyond the wait of a watch until the answer must be there.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -140,16 +140,16 @@
         let mut list = List::default();
         let mut path = format!("/objects/{}", kind(topic));
         loop {
-            let body = self.get(&path, ANSWER_LIMIT, 0).await?;
-            let page: Page = serde_json::from_slice(&body).context(MalformedSnafu)?;
+            let answer = self.get(&path, ANSWER_LIMIT, 0).await?;
+            let page: Page = serde_json::from_slice(&answer).context(MalformedSnafu)?;
             // Changes between two pages are watched again from the first page's revision.
             if list.revision == 0 {
                 list.revision = page.as_of;
             }
             list.items.extend(page.items);
             match list.items.last() {
-                Some(last) if page.has_more => {
-                    path = format!("/objects/{}?after={}", kind(topic), last.meta.name);
+                Some(end) if page.has_more => {
+                    path = format!("/objects/{}?after={}", kind(topic), end.meta.name);
                 }
                 _ => return Ok(list),
             }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod service;
 pub mod site;
 pub mod toolkit;
+pub mod users;
--- /dev/null
+++ b/standins/tests/users_platform.rs
@@ -0,0 +1,397 @@
+//! Gateways and hosts against a stand-in of the users' platform. Each test names the
+//! failure that it guards against.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corianderramp::clock;
+use corianderramp::net;
+use corianderramp::node::settings::{Bounds, Listen, Role, Settings, Target as Beside};
+use corianderramp::node::stop::Signals;
+use corianderramp::{gateway, host, settings};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use serde_json::json;
+use standins::harness::Subnet;
+use standins::users::{self, Origin, Script, Store, Target};
+use tokio::time;
+
+/// Time for anything that must happen; generous, so that a busy machine passes.
+const LIMIT: Duration = Duration::from_secs(20);
+/// Chunks of a version.
+const CHUNKS: usize = 12;
+
+struct Site {
+    net: Subnet,
+    store: Store,
+    origin: Origin,
+}
+
+impl Site {
+    async fn start(index: u8) -> Self {
+        let net = Subnet::new(index);
+        let store = Store::start(net.address(1, 8000)).await;
+        let origin = Origin::start(net.address(2, 8000), CHUNKS).await;
+        store.put(
+            "config",
+            "main",
+            users::config(1, net.address(2, 8000), CHUNKS),
+        );
+        Self { net, store, origin }
+    }
+
+    /// Target number `host` of a service, registered in the store.
+    async fn target(&self, host: u8, service: &str, version: u64, script: Script) -> Target {
+        let id: &'static str = format!("i-{host}").leak();
+        let address = self.net.address(host, 9000);
+        let target = Target::start(id, address, version, script).await;
+        self.store
+            .put("servers", id, users::entry(service, address, version));
+        target
+    }
+
+    fn settings(&self, role: Role, host: u8) -> Settings {
+        let ports = [7700, 7715];
+        let beside = Beside {
+            address: self.net.address(host, 9000),
+            service: "llm".into(),
+        };
+        let listen = Listen {
+            callers: self.net.address(host, 8080),
+            probes: self.net.address(host, 8081),
+        };
+        Settings {
+            role,
+            vm: format!("vm-{host}"),
+            data_center: "z-a".into(),
+            region: "r".into(),
+            centers: [("z-a".to_owned(), "r".to_owned())].into(),
+            address: self.net.ip(host),
+            ports,
+            listen: (role == Role::Gateway).then_some(listen),
+            store: self.net.address(1, 8000),
+            target: (role == Role::Host).then_some(beside),
+            link_mbps: 100.0,
+            bounds: Bounds {
+                stop_ms: 8_000,
+                weights_ms: 8_000,
+            },
+            metrics: None,
+            log: settings::Log::default(),
+        }
+    }
+
+    fn gateway(&self, host: u8) -> SocketAddr {
+        let settings = self.settings(Role::Gateway, host);
+        let signals = Signals::install(PathBuf::new()).unwrap();
+        tokio::spawn(gateway::run(settings, signals, clock::System));
+        self.net.address(host, 8080)
+    }
+
+    fn host(&self, host: u8) {
+        let settings = self.settings(Role::Host, host);
+        let signals = Signals::install(PathBuf::new()).unwrap();
+        tokio::spawn(host::run(settings, signals, clock::System));
+    }
+}
+
+fn request(method: Method, path: &str, id: &str) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "a.example")
+        .header("x-corianderramp-request-id", id)
+        .header("x-corianderramp-deadline-ms", "2500")
+        .header("x-corianderramp-token-count", "100,10")
+        .header("x-corianderramp-model", "m0")
+        .header("x-corianderramp-tenant", "somebody else")
+        .header("api-key", "key-1")
+        .body(Full::from("body"))
+        .unwrap()
+}
+
+async fn call(
+    gateway: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Bytes>, net::Error> {
+    net::once(gateway, request, Duration::from_secs(5), 1 << 20).await
+}
+
+/// Repeats a request until it is answered 200, as the fleet needs a moment to be known.
+async fn settle(gateway: SocketAddr, method: Method, path: &str) -> Response<Bytes> {
+    let retry = async {
+        loop {
+            let answer = call(gateway, request(method.clone(), path, "settle")).await;
+            if let Ok(answer) = answer
+                && answer.status() == StatusCode::OK
+            {
+                return answer;
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    time::timeout(LIMIT, retry)
+        .await
+        .expect("the gateway serves in time")
+}
+
+async fn until(what: &str, check: impl Fn() -> bool) {
+    let wait = async {
+        while !check() {
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    time::timeout(LIMIT, wait)
+        .await
+        .unwrap_or_else(|_| panic!("not in time: {what}"));
+}
+
+fn events(range: std::ops::RangeInclusive<u64>) -> String {
+    range
+        .map(|i| format!("id: {i}\ndata: token{i}\n\n"))
+        .collect()
+}
+
+/// A key that reaches a target, or an account that the caller invents, would let one
+/// account act for another.
+#[tokio::test]
+async fn targets_get_the_account_and_never_the_key() {
+    let site = Site::start(0).await;
+    let desk = site.target(10, "desk", 0, Script::Whole("ok")).await;
+    let gateway = site.gateway(20);
+    settle(gateway, Method::GET, "/check/x?y=1").await;
+    let received = desk.received();
+    let last = received.last().unwrap();
+    assert_eq!(last.headers["x-corianderramp-tenant"], "rounds");
+    assert!(!last.headers.contains_key("api-key"));
+    assert_eq!(last.headers["x-corianderramp-expect-instance"], "i-10");
+    assert_eq!(last.uri, "/check/x?y=1");
+    assert_eq!(last.body, "body");
+}
+
+/// An unknown key or route must be refused, and a gateway without configuration must not
+/// refuse for good what it can't judge.
+#[tokio::test]
+async fn refusals_say_what_is_wrong() {
+    let site = Site::start(1).await;
+    let _desk = site.target(10, "desk", 0, Script::Whole("ok")).await;
+    let gateway = site.gateway(20);
+    settle(gateway, Method::GET, "/check/x").await;
+    let mut unknown = request(Method::GET, "/check/x", "a");
+    unknown
+        .headers_mut()
+        .insert("api-key", "nobody".parse().unwrap());
+    assert_eq!(call(gateway, unknown).await.unwrap().status(), 401);
+    let unrouted = request(Method::GET, "/other/x", "b");
+    assert_eq!(call(gateway, unrouted).await.unwrap().status(), 404);
+
+    let empty = Subnet::new(2);
+    let store = Store::start(empty.address(1, 8000)).await;
+    let site = Site {
+        net: empty,
+        store,
+        origin: Origin::default(),
+    };
+    let gateway = site.gateway(20);
+    let answer = async {
+        loop {
+            if let Ok(answer) = call(gateway, request(Method::GET, "/check/x", "c")).await {
+                return answer;
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let answer = time::timeout(LIMIT, answer).await.unwrap();
+    assert_eq!(answer.status(), 503);
+    assert!(answer.headers().contains_key("retry-after"));
+}
+
+/// A booking whose answer is lost may have run: sent again it could run twice, and
+/// answered 503 the caller would send it again.
+#[tokio::test]
+async fn lost_answer_to_a_booking_is_not_repeated() {
+    let site = Site::start(3).await;
+    let desk = site.target(10, "desk", 0, Script::Whole("ok")).await;
+    let other = site.target(11, "desk", 0, Script::Whole("ok")).await;
+    let gateway = site.gateway(20);
+    settle(gateway, Method::GET, "/check/x").await;
+    desk.set(Script::Break);
+    other.set(Script::Break);
+    let before = desk.received().len() + other.received().len();
+    let answer = call(gateway, request(Method::POST, "/book/x", "b1"))
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), StatusCode::BAD_GATEWAY);
+    assert_eq!(desk.received().len() + other.received().len(), before + 1);
+}
+
+/// A look-up may run twice, so a target that breaks must not cost the answer.
+#[tokio::test]
+async fn lost_answer_to_a_lookup_is_made_up_for_elsewhere() {
+    let site = Site::start(4).await;
+    let desk = site.target(10, "desk", 0, Script::Whole("ok")).await;
+    let _other = site.target(11, "desk", 0, Script::Whole("ok")).await;
+    let gateway = site.gateway(20);
+    settle(gateway, Method::GET, "/check/x").await;
+    desk.set(Script::Break);
+    for i in 0..8 {
+        let answer = call(gateway, request(Method::GET, "/check/x", &format!("c{i}"))).await;
+        assert_eq!(answer.unwrap().status(), StatusCode::OK);
+    }
+}
+
+/// An answer that carries another request's id must reach nobody.
+#[tokio::test]
+async fn answer_to_another_request_is_not_passed_on() {
+    let site = Site::start(5).await;
+    let desk = site.target(10, "desk", 0, Script::Whole("ok")).await;
+    let gateway = site.gateway(20);
+    settle(gateway, Method::GET, "/check/x").await;
+    desk.set(Script::Foreign);
+    let answer = call(gateway, request(Method::POST, "/book/x", "mine"))
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), StatusCode::BAD_GATEWAY);
+    assert!(answer.body().is_empty());
+}
+
+/// A request that no target ran is refused at once, with a time to come back.
+#[tokio::test]
+async fn declined_booking_is_refused_as_not_run() {
+    let site = Site::start(6).await;
+    let desk = site.target(10, "desk", 0, Script::Whole("ok")).await;
+    let gateway = site.gateway(20);
+    settle(gateway, Method::GET, "/check/x").await;
+    desk.set(Script::NotRun);
+    let begin = time::Instant::now();
+    let answer = call(gateway, request(Method::POST, "/book/x", "b"))
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers().contains_key("retry-after"));
+    assert!(begin.elapsed() < Duration::from_millis(1_500));
+}
+
+/// A stream whose target breaks off within an event goes on at another target: no event
+/// missing, none twice, no torn bytes.
+#[tokio::test]
+async fn broken_stream_goes_on_at_another_target() {
+    let site = Site::start(7).await;
+    let first = site.target(10, "llm", 1, Script::Events(1, 10)).await;
+    let second = site.target(11, "llm", 1, Script::Events(1, 10)).await;
+    site.host(10);
+    site.host(11);
+    let gateway = site.gateway(20);
+    settle(gateway, Method::POST, "/plan/x").await;
+    first.set(Script::Events(1, 4));
+    second.set(Script::Events(1, 10));
+    for i in 0..6 {
+        let answer = call(gateway, request(Method::POST, "/plan/x", &format!("s{i}")))
+            .await
+            .unwrap();
+        assert_eq!(String::from_utf8_lossy(answer.body()), events(1..=10));
+    }
+    let resumed = second.received();
+    let after = resumed
+        .iter()
+        .filter_map(|r| r.headers.get("last-event-id"));
+    assert!(after.into_iter().any(|v| v == "4"));
+}
+
+/// A stream that can't go on anywhere must not look complete.
+#[tokio::test]
+async fn stream_without_another_target_breaks_off() {
+    let site = Site::start(8).await;
+    let only = site.target(10, "llm", 1, Script::Events(1, 10)).await;
+    site.host(10);
+    let gateway = site.gateway(20);
+    settle(gateway, Method::POST, "/plan/x").await;
+    only.set(Script::Events(1, 4));
+    let answer = call(gateway, request(Method::POST, "/plan/x", "s")).await;
+    assert!(answer.is_err(), "{answer:?}");
+}
+
+/// Weights reach all targets whole, each chunk leaves the origin once, and a staged chunk
+/// that turns bad is replaced before the target loads it.
+#[tokio::test]
+async fn weights_reach_all_targets_and_leave_the_origin_once() {
+    let site = Site::start(9).await;
+    let mut targets = Vec::new();
+    for host in 10..14 {
+        targets.push(site.target(host, "llm", 1, Script::Events(1, 10)).await);
+        site.host(host);
+    }
+    time::sleep(Duration::from_millis(800)).await;
+    site.store
+        .put("versions", "m0", json!({"model": "m0", "version": 2}));
+    let spoiled = targets[0].clone();
+    until("chunks are staged", || {
+        spoiled.staged().iter().flatten().count() == CHUNKS
+    })
+    .await;
+    spoiled.spoil(3);
+    until("all targets serve version 2", || {
+        targets.iter().all(|t| t.version() == 2)
+    })
+    .await;
+    for target in &targets {
+        for (index, chunk) in target.staged().iter().enumerate() {
+            assert_eq!(
+                chunk.as_ref(),
+                Some(&users::chunk(2, index)),
+                "chunk {index}"
+            );
+        }
+    }
+    let mut sent = site.origin.sent();
+    sent.retain(|(version, _)| *version == 2);
+    let total = sent.len();
+    sent.sort_unstable();
+    sent.dedup();
+    assert_eq!(sent.len(), CHUNKS);
+    assert!(total <= CHUNKS + 2, "the origin sent {total} chunks");
+}
+
+/// A gateway that the store turns away must still learn of a new configuration, from a
+/// scout of its region.
+#[tokio::test]
+async fn configuration_reaches_a_gateway_that_the_store_turns_away() {
+    let site = Site::start(10).await;
+    for host in 10..12 {
+        let _target = site.target(host, "llm", 1, Script::Events(1, 10)).await;
+        site.host(host);
+    }
+    let _desk = site.target(12, "desk", 0, Script::Whole("ok")).await;
+    let gateway = site.gateway(20);
+    settle(gateway, Method::GET, "/check/x").await;
+    site.store.refuse(site.net.ip(20));
+    let mut next = users::config(2, site.net.address(2, 8000), CHUNKS);
+    next["routes"][2]["path_prefix"] = json!("/new/");
+    site.store.put("config", "main", next);
+    settle(gateway, Method::GET, "/new/x").await;
+}
+
+/// A target that leaves gets no new request once its entry says so.
+#[tokio::test]
+async fn leaving_target_gets_no_new_requests() {
+    let site = Site::start(11).await;
+    let leaving = site.target(10, "desk", 0, Script::Whole("ok")).await;
+    let staying = site.target(11, "desk", 0, Script::Whole("ok")).await;
+    let gateway = site.gateway(20);
+    settle(gateway, Method::GET, "/check/x").await;
+    let address = site.net.address(10, 9000);
+    let mut entry = users::entry("desk", address, 0);
+    entry["state"] = json!("draining");
+    site.store.put("servers", "i-10", entry);
+    // The bound of the users' sites.
+    time::sleep(Duration::from_secs(2)).await;
+    let before = leaving.received().len();
+    for i in 0..20 {
+        let answer = call(gateway, request(Method::GET, "/check/x", &format!("d{i}"))).await;
+        assert_eq!(answer.unwrap().status(), StatusCode::OK);
+    }
+    assert_eq!(leaving.received().len(), before);
+    assert!(!staying.received().is_empty());
+}
--- /dev/null
+++ b/tests/place.rs
@@ -0,0 +1,155 @@
+//! Decisions on load, one pattern each.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use corianderramp::place::ledger::{Ask, Ledger, Ticket, Verdict};
+use corianderramp::place::patience::Pressure;
+
+const OBJECTIVE: Duration = Duration::from_millis(400);
+
+fn ledger(slots: u32) -> Ledger {
+    let mut ledger = Ledger::new(slots, Duration::from_secs(1), 30_000.0);
+    ledger.set_open(true);
+    ledger
+}
+
+fn ask(request: u64, prompt: u32, is_choosy: bool) -> Ask {
+    Ask {
+        ticket: Ticket {
+            gateway: 1,
+            request,
+        },
+        priority: 1,
+        objective: OBJECTIVE,
+        prompt,
+        is_choosy,
+    }
+}
+
+/// A datagram that is lost and sent again must not take two places.
+#[test]
+fn repeated_ask_takes_one_place() {
+    let now = Instant::now();
+    let mut ledger = ledger(4);
+    for _ in 0..3 {
+        assert_eq!(ledger.ask(&ask(1, 10, false), now), Verdict::Granted);
+    }
+    assert_eq!(ledger.active(), 1);
+}
+
+/// A gateway that dies never says that its requests ended; their places must come back.
+#[test]
+fn places_of_a_dead_gateway_come_back() {
+    let now = Instant::now();
+    let mut ledger = ledger(4);
+    for request in 0..4 {
+        ledger.ask(&ask(request, 1, false), now);
+    }
+    assert_eq!(ledger.free(), 0);
+    let later = now + Duration::from_millis(800);
+    ledger.observe(0, later);
+    assert_eq!(ledger.free(), 4);
+}
+
+/// A report that is older than a grant must not free its place: the request is on its way.
+#[test]
+fn grant_on_its_way_is_kept() {
+    let now = Instant::now();
+    let mut ledger = ledger(4);
+    ledger.ask(&ask(1, 1, false), now);
+    ledger.observe(0, now + Duration::from_millis(100));
+    assert_eq!(ledger.active(), 1);
+}
+
+/// Requests that bypass the ledger take places too.
+#[test]
+fn requests_without_a_grant_count() {
+    let now = Instant::now();
+    let mut ledger = ledger(4);
+    ledger.observe(4, now);
+    assert_eq!(ledger.free(), 0);
+    assert!(matches!(
+        ledger.ask(&ask(1, 1, true), now),
+        Verdict::Full(_)
+    ));
+}
+
+/// Prompts that arrive together at one target while others are free.
+#[test]
+fn burst_of_prompts_is_sent_elsewhere_first() {
+    let now = Instant::now();
+    let mut ledger = ledger(16);
+    assert_eq!(ledger.ask(&ask(1, 3_000, true), now), Verdict::Granted);
+    assert!(matches!(
+        ledger.ask(&ask(2, 100, true), now),
+        Verdict::Full(_)
+    ));
+    assert_eq!(ledger.ask(&ask(2, 100, false), now), Verdict::Granted);
+    let read = now + Duration::from_millis(200);
+    assert_eq!(ledger.ask(&ask(3, 100, true), read), Verdict::Granted);
+}
+
+/// What would begin past its objective is refused at once.
+#[test]
+fn hopeless_wait_is_refused() {
+    let now = Instant::now();
+    let mut ledger = ledger(2);
+    let verdicts: Vec<Verdict> = (0..8)
+        .map(|i| ledger.ask(&ask(i, 10, false), now))
+        .collect();
+    assert_eq!(verdicts[..2], [Verdict::Granted, Verdict::Granted]);
+    assert!(matches!(verdicts[7], Verdict::Full(_)));
+}
+
+/// While weights are loaded nothing is granted, whatever is free.
+#[test]
+fn closed_target_grants_nothing() {
+    let now = Instant::now();
+    let mut ledger = ledger(4);
+    ledger.set_open(false);
+    assert_eq!(ledger.ask(&ask(1, 1, false), now), Verdict::Closed);
+    assert_eq!(ledger.free(), 0);
+}
+
+/// A crowd that is refused together must not return together.
+#[test]
+fn returns_of_a_refused_crowd_are_spread() {
+    let now = Instant::now();
+    let mut pressure = Pressure::new(now);
+    for _ in 0..80 {
+        pressure.count(false, now);
+    }
+    for _ in 0..20 {
+        pressure.count(true, now);
+    }
+    let left = Duration::from_secs(6);
+    let waits: Vec<u128> = (0..1000)
+        .map(|i| {
+            pressure
+                .retry_after(left, f64::from(i) / 1000.0)
+                .as_millis()
+        })
+        .collect();
+    // Callers wait up to a third of their time.
+    assert!(waits.iter().all(|w| (1..=2_000).contains(w)));
+    for bucket in 0..20 {
+        let range = bucket * 100..(bucket + 1) * 100;
+        let together = waits.iter().filter(|w| range.contains(*w)).count();
+        assert!(
+            together <= 150,
+            "{together} of 1000 return within {range:?} ms"
+        );
+    }
+}
+
+/// A caller with little time must not be told to come back after it.
+#[test]
+fn return_fits_into_the_remaining_time() {
+    let pressure = Pressure::new(Instant::now());
+    for left in [0, 90, 300, 900] {
+        let left = Duration::from_millis(left);
+        assert!(pressure.retry_after(left, 0.99) <= left / 3 + Duration::from_millis(1));
+    }
+}
