Ask a host before relying on the entry of its target

Gateways that start have heard no host yet and relied on entries of earlier lifetimes. Change: a host that has not been heard is asked first; only one that did not answer within the last second is passed by. The test fails without it.

--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -215,7 +215,7 @@
 
     /// Notes that the host of a target does not answer.
     pub(super) fn silence(&self, key: TargetKey, target: SocketAddr) {
-        self.pool.lock().silence(key);
+        self.pool.lock().silence(key, self.clock.now());
         warn!(target:% = target; "agent silent");
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -152,7 +152,7 @@
         Some(Pick {
             key,
             address: entry.target.address,
-            has_agent: want.weights.is_some() && entry.has_agent(now),
+            has_agent: want.weights.is_some() && !entry.is_silent(now),
         })
     }
 
--- a/src/place/pool.rs
+++ b/src/place/pool.rs
@@ -15,6 +15,8 @@
 
 /// Age up to which an agent's statement is used.
 pub const STATE_AGE: Duration = Duration::from_secs(3);
+/// Time for which an agent that did not answer is not asked again.
+const SILENCE: Duration = Duration::from_secs(1);
 /// Requests that one gateway has at a target whose agent is silent. The gateways of a
 /// deployment are about as many as a target has slots.
 const BLIND_REQUESTS: u32 = 2;
@@ -59,6 +61,8 @@
     pub active: u32,
     /// Newest statement of its agent.
     pub state: Option<State>,
+    /// When its agent last failed to answer.
+    pub silent: Option<Instant>,
     /// Failures since the last success.
     pub failures: u32,
     /// Share of requests that failed lately, 0 to 1.
@@ -88,6 +92,13 @@
         self.state(now).is_some()
     }
 
+    /// Whether its agent did not answer lately, so that it is not asked again yet.
+    #[must_use]
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let lately = |at| now.saturating_duration_since(at) < SILENCE;
+        self.silent.is_some_and(lately)
+    }
+
     fn is_avoided(&self, now: Instant) -> bool {
         self.avoid.is_some_and(|until| now < until)
     }
@@ -139,6 +150,7 @@
                         target: known.value.clone(),
                         active: 0,
                         state: None,
+                        silent: None,
                         failures: 0,
                         faulty: 0.0,
                         avoid: None,
@@ -171,13 +183,15 @@
     pub fn hear(&mut self, key: TargetKey, state: State) {
         if let Some(entry) = self.entries.get_mut(key) {
             entry.state = Some(state);
+            entry.silent = None;
         }
     }
 
     /// Forgets what an agent said, because it no longer answers.
-    pub fn silence(&mut self, key: TargetKey) {
+    pub fn silence(&mut self, key: TargetKey, now: Instant) {
         if let Some(entry) = self.entries.get_mut(key) {
             entry.state = None;
+            entry.silent = Some(now);
         }
     }
 
--- a/standins/tests/users_platform.rs
+++ b/standins/tests/users_platform.rs
@@ -396,3 +396,32 @@
     assert_eq!(leaving.received().len(), before);
     assert!(!staying.received().is_empty());
 }
+
+/// After a loss of power the store still lists weights that the targets no longer hold.
+/// Requests sent there were declined by the hundred; the host beside a target knows better.
+#[tokio::test]
+async fn outdated_entry_gets_no_requests() {
+    let site = Site::start(12).await;
+    // Without an origin the target stays empty.
+    let nobody = site.net.address(3, 8000);
+    site.store
+        .put("config", "main", users::config(2, nobody, CHUNKS));
+    let address = site.net.address(10, 9000);
+    let empty = Target::start("i-10", address, 0, Script::NotRun).await;
+    site.store
+        .put("servers", "i-10", users::entry("llm", address, 1));
+    let desk = site.target(12, "desk", 0, Script::Whole("ok")).await;
+    site.host(10);
+    time::sleep(Duration::from_millis(500)).await;
+    let gateway = site.gateway(20);
+    settle(gateway, Method::GET, "/check/x").await;
+    for i in 0..5 {
+        let answer = call(gateway, request(Method::POST, "/plan/x", &format!("e{i}")))
+            .await
+            .unwrap();
+        assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.headers().contains_key("retry-after"));
+    }
+    assert!(empty.received().is_empty());
+    assert!(!desk.received().is_empty());
+}
