Load a version before it is due even if a newer one was named

All targets had version 2 staged, waited for version 3 and were closed when version 2 became due. Refusals at seconds 8 to 20 (593 of 4650, asks=3 in all of them): gateways know states as of a second ago. Ruled out: full targets (78 % of the slots were in use). Change: a newer version replaces the next one only when its chunks are here or while there is time to wait for them; an exchange without progress lets other versions have their turn; up to five hosts are asked for a place.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -25,8 +25,9 @@
 /// Time for opening a connection to a target. Delays between regions are a few
 /// milliseconds, and a lost opening packet is repeated only after a second.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
-/// Hosts that are asked for a place before a request is refused.
-const MAX_ASKS: u32 = 3;
+/// Hosts that are asked for a place before a request is refused. With dozens of gateways
+/// each knows the targets' states as of a second ago, and the first ones are often taken.
+const MAX_ASKS: u32 = 5;
 /// Objectives that a repeatable request waits for its first bytes before another target is tried.
 const HEAD_OBJECTIVES: u32 = 3;
 /// Part of the bound for new weights that is kept as a margin, so that a request that
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -37,6 +37,8 @@
 const SUBSCRIPTION: Duration = Duration::from_secs(1);
 /// Time between two statements of new chunks to peers.
 const TELL_INTERVAL: Duration = Duration::from_millis(40);
+/// Time without any new chunk after which another version gets its turn.
+const GIVE_UP: Duration = Duration::from_secs(3);
 /// Pause before the origin is asked again after it failed.
 const ORIGIN_PAUSE: Duration = Duration::from_millis(150);
 /// Statements that wait to be taken in, at most.
@@ -245,6 +247,10 @@
             if self.host.chunks.missing(&self.manifest).is_empty() {
                 return true;
             }
+            let now = host.clock.now();
+            if now.saturating_duration_since(self.advanced) >= GIVE_UP {
+                return false;
+            }
             if self
                 .host
                 .superseded(&self.manifest.model, self.manifest.version)
--- a/src/host/plan.rs
+++ b/src/host/plan.rs
@@ -5,13 +5,15 @@
 /// Time from the naming of a version until the first targets switch: what fetching and
 /// staging take on the links of today's sites.
 const FIRST_WAVE: Duration = Duration::from_millis(2_800);
+/// Time in which a version's chunks reach a host while the targets serve requests.
+const FETCH: Duration = Duration::from_millis(3_800);
 /// Time between two waves; most requests that run when a target stops taking new ones
 /// have ended by then.
 const WAVE_INTERVAL: Duration = Duration::from_millis(1_300);
 /// Waves in which the targets of a service switch, so that two thirds of them serve.
 const WAVES: u32 = 3;
-/// Time before the bound at which the last target must have stopped beginning requests.
-const BOUND_MARGIN: Duration = Duration::from_millis(1_200);
+/// Time before the bound at which a target stops waiting for a newer version.
+const LAST_MARGIN: Duration = Duration::from_millis(1_000);
 
 /// When the host of rank `rank` switches to a version named at `named`.
 #[must_use]
@@ -20,12 +22,19 @@
     named + FIRST_WAVE + WAVE_INTERVAL * wave
 }
 
-/// Whether to skip a version that is not in use yet because a newer one, named at
-/// `newer`, will be complete before the older one is due. `named` is when the older one
+/// When the host must switch to a version named at `named` at the latest, even if a newer
+/// one is on its way that would make the switch needless.
+#[must_use]
+pub fn latest(named: Instant, bound: Duration) -> Instant {
+    named + bound.saturating_sub(LAST_MARGIN)
+}
+
+/// Whether to wait with a version that is not in use yet because a newer one, named at
+/// `newer`, may be complete before the older one is due. `named` is when the older one
 /// was named and `bound` how long after that no request may begin on still older weights.
 #[must_use]
 pub fn skips(named: Instant, newer: Instant, bound: Duration) -> bool {
-    newer + FIRST_WAVE + BOUND_MARGIN <= named + bound
+    newer + FETCH <= latest(named, bound)
 }
 
 #[cfg(test)]
--- a/src/host/plan_test.rs
+++ b/src/host/plan_test.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::{BOUND_MARGIN, FIRST_WAVE, WAVE_INTERVAL, WAVES, skips, switch_at};
+use super::{FETCH, LAST_MARGIN, WAVE_INTERVAL, WAVES, latest, skips, switch_at};
 
 const BOUND: Duration = Duration::from_secs(8);
 
@@ -24,7 +24,7 @@
 #[test]
 fn version_is_skipped_only_if_the_newer_arrives_in_time() {
     let named = Instant::now();
-    let latest = BOUND.saturating_sub(FIRST_WAVE + BOUND_MARGIN);
+    let latest = BOUND.saturating_sub(FETCH + LAST_MARGIN);
     assert!(skips(named, named + latest, BOUND));
     assert!(!skips(
         named,
--- a/src/host/switch.rs
+++ b/src/host/switch.rs
@@ -61,9 +61,11 @@
             });
         };
         let bound = self.bounds.weights();
-        // A target without weights serves nothing meanwhile, so it takes the newest.
+        // A newer version replaces the next one only when it is here: until then the
+        // origin may fail, and the next one must be loaded before it is due.
         for (newer, at) in open {
-            if now == 0 || plan::skips(since, at, bound) {
+            let may_skip = now == 0 || plan::skips(since, at, bound);
+            if may_skip && self.is_complete(&model, newer) {
                 (version, since) = (newer, at);
             }
         }
@@ -74,6 +76,22 @@
         })
     }
 
+    /// Whether all chunks of a version are here.
+    fn is_complete(&self, model: &str, version: u64) -> bool {
+        let manifest = self.chunks.manifest(model, version);
+        manifest.is_some_and(|m| self.chunks.missing(&m).is_empty())
+    }
+
+    /// Whether a version that may replace `wanted` is on its way.
+    fn awaits_newer(&self, wanted: &Wanted, named: Instant) -> bool {
+        let view = self.board.view();
+        let history = view.named(&wanted.model).map(|n| n.history.as_slice());
+        let bound = self.bounds.weights();
+        let newer =
+            |(v, at): &(u64, Instant)| *v > wanted.version && plan::skips(named, *at, bound);
+        history.unwrap_or_default().iter().any(newer)
+    }
+
     /// Whether another version is wanted by now.
     pub(super) fn superseded(&self, model: &str, version: u64) -> bool {
         let newer = |w: Wanted| w.model != model || w.version > version;
@@ -148,7 +166,10 @@
             && self.engine.borrow().weights.is_some()
         {
             let at = plan::switch_at(named, self.rank());
-            while self.clock.now() < at {
+            let latest = plan::latest(named, self.bounds.weights());
+            while self.clock.now() < at
+                || (self.awaits_newer(wanted, named) && self.clock.now() < latest)
+            {
                 time::sleep(INTERVAL).await;
                 if self.superseded(model, *version) {
                     info!(model = model.as_str(), version; "version skipped");
--- a/standins/tests/users_platform.rs
+++ b/standins/tests/users_platform.rs
@@ -425,3 +425,29 @@
     assert!(empty.received().is_empty());
     assert!(!desk.received().is_empty());
 }
+
+/// A version whose chunks are here must be loaded before it is due even if a newer one was
+/// named meanwhile whose chunks can't be fetched: all targets used to wait for the newer
+/// one and were closed when the older became due.
+#[tokio::test]
+async fn unreachable_newer_version_does_not_hold_up_the_older() {
+    let site = Site::start(13).await;
+    let target = site.target(10, "llm", 1, Script::Events(1, 10)).await;
+    site.host(10);
+    time::sleep(Duration::from_millis(800)).await;
+    site.store
+        .put("versions", "m0", json!({"model": "m0", "version": 2}));
+    until("version 2 is staged", || {
+        target.staged().iter().flatten().count() == CHUNKS
+    })
+    .await;
+    let nobody = site.net.address(3, 8000);
+    site.store
+        .put("config", "main", users::config(2, nobody, CHUNKS));
+    time::sleep(Duration::from_millis(300)).await;
+    site.store
+        .put("versions", "m0", json!({"model": "m0", "version": 3}));
+    let named = time::Instant::now();
+    until("the target serves version 2", || target.version() == 2).await;
+    assert!(named.elapsed() < Duration::from_secs(8));
+}
