--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -152,8 +152,6 @@
 pub struct Service {
     /// Name.
     pub name: String,
-    /// Connections that one target accepts from all callers.
-    pub connections: u32,
     /// Model engine, if the targets generate text.
     pub engine: Option<Engine>,
     /// Address of the origin, if this service hands out weights.
@@ -177,12 +175,6 @@
     pub answer: f64,
     /// Models that the engine can load.
     pub models: Vec<String>,
-    /// Layers of the model.
-    pub layers: u32,
-    /// Chunks that the weights consist of.
-    pub chunks: u32,
-    /// Time to load a complete set of weights.
-    pub warm: Duration,
 }
 
 impl Engine {
@@ -201,9 +193,6 @@
     ///     prompt: 1_000.0,
     ///     answer: 100.0,
     ///     models: Vec::new(),
-    ///     layers: 16,
-    ///     chunks: 64,
-    ///     warm: Duration::from_millis(300),
     /// };
     /// // 100 steps of 7 ms, and ten prompts of 50 ms are read meanwhile.
     /// assert_eq!(engine.hold().as_millis(), 1_200);
--- a/src/host/plan.rs
+++ b/src/host/plan.rs
@@ -13,7 +13,7 @@
 /// Waves in which the targets of a service switch, so that two thirds of them serve.
 const WAVES: u32 = 3;
 /// Time before the bound at which a target stops waiting for a newer version.
-const LAST_MARGIN: Duration = Duration::from_millis(1_000);
+const LAST_MARGIN: Duration = Duration::from_secs(1);
 
 /// When the host of rank `rank` switches to a version named at `named`.
 #[must_use]
--- a/src/host/plan_test.rs
+++ b/src/host/plan_test.rs
@@ -13,7 +13,7 @@
     times.dedup();
     assert_eq!(times.len(), WAVES as usize);
     assert!(
-        times.iter().all(|t| *t + BOUND_MARGIN <= BOUND),
+        times.iter().all(|t| named + *t <= latest(named, BOUND)),
         "{times:?}"
     );
     assert!(times.windows(2).all(|w| w[0] + WAVE_INTERVAL == w[1]));
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -50,7 +50,6 @@
 #[derive(Deserialize)]
 struct WireService {
     name: String,
-    max_connections: Option<u32>,
     engine: Option<WireEngine>,
     origin: Option<SocketAddr>,
 }
@@ -62,8 +61,6 @@
     per_seq_ms: f64,
     read_per_s: f64,
     usual: Option<WireUsual>,
-    layers: Option<u32>,
-    chunks: Option<u32>,
     #[serde(default)]
     models: Vec<WireModel>,
 }
@@ -71,7 +68,6 @@
 #[derive(Deserialize)]
 struct WireModel {
     name: String,
-    warm_s: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -107,18 +103,19 @@
     /// Start of this lifetime; also present for targets that restarted under their id.
     born: Option<u64>,
     #[serde(default)]
-    models: Vec<WireHeld>,
-    layers: Option<WireLayers>,
+    models: Vec<Held>,
+    layers: Option<Layers>,
 }
 
+/// A model that a target holds.
 #[derive(Deserialize)]
-struct WireHeld {
+pub(super) struct Held {
     version: u64,
 }
 
 /// Layers that a target holds; `to` is exclusive.
 #[derive(Deserialize)]
-struct WireLayers {
+pub(super) struct Layers {
     from: u32,
     to: u32,
     version: u64,
@@ -222,23 +219,22 @@
         prompt: e.usual.as_ref().map_or(0.0, |u| u.prompt),
         answer: e.usual.as_ref().map_or(0.0, |u| u.answer),
         models: e.models.iter().map(|m| m.name.clone()).collect(),
-        layers: e.layers.unwrap_or(1),
-        chunks: e.chunks.unwrap_or(0),
-        warm: millis(
-            e.models
-                .first()
-                .and_then(|m| m.warm_s)
-                .map_or(0.0, |s| s * 1000.0),
-        ),
     });
     Service {
         name: wire.name,
-        connections: wire.max_connections.unwrap_or(u32::MAX),
         engine,
         origin: wire.origin,
     }
 }
 
+/// Version of the weights that a target holds with all layers.
+pub(super) fn complete(models: &[Held], layers: Option<&Layers>) -> Option<u64> {
+    let is_whole = layers.is_none_or(|l| l.from == 0 && l.to > 0);
+    let layered = layers.map(|l| l.version);
+    let held = layered.or_else(|| models.first().map(|m| m.version));
+    held.filter(|version| is_whole && *version > 0)
+}
+
 /// Target from its entry, named `id`.
 ///
 /// # Errors
@@ -254,9 +250,6 @@
             return Err(serde::de::Error::custom(reason));
         }
     };
-    let complete = wire.layers.as_ref().is_none_or(|l| l.from == 0 && l.to > 0);
-    let layered = wire.layers.as_ref().map(|l| l.version);
-    let held = layered.or_else(|| wire.models.first().map(|m| m.version));
     Ok(Target {
         id: id.to_owned(),
         service: wire.service,
@@ -265,7 +258,7 @@
         slots: wire.slots,
         phase,
         born: wire.born.unwrap_or(0),
-        weights: held.filter(|v| complete && *v > 0),
+        weights: complete(&wire.models, wire.layers.as_ref()),
     })
 }
 
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -11,6 +11,7 @@
 
 use crate::digest::Digest;
 use crate::net;
+use crate::platform::decode::{self, Held, Layers};
 
 /// Largest answer of an engine or the origin, bytes.
 const MAX_ANSWER: usize = 4 * 1024 * 1024;
@@ -74,23 +75,11 @@
     running: u32,
     pace: Option<f64>,
     #[serde(default)]
-    models: Vec<WireHeld>,
-    layers: Option<WireLayers>,
+    models: Vec<Held>,
+    layers: Option<Layers>,
     born: Option<u64>,
 }
 
-#[derive(Deserialize)]
-struct WireHeld {
-    version: u64,
-}
-
-#[derive(Deserialize)]
-struct WireLayers {
-    from: u32,
-    to: u32,
-    version: u64,
-}
-
 /// Digests of the chunks of one version.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Manifest {
@@ -199,21 +188,18 @@
         self.connection = Some(connection);
         let wire: WireReport =
             serde_json::from_slice(answer.body()).context(MalformedSnafu { path })?;
-        Ok(decode(&wire))
+        Ok(read(&wire))
     }
 }
 
-fn decode(wire: &WireReport) -> Report {
-    let complete = wire.layers.as_ref().is_none_or(|l| l.from == 0 && l.to > 0);
-    let layered = wire.layers.as_ref().map(|l| l.version);
-    let held = layered.or_else(|| wire.models.first().map(|m| m.version));
+fn read(wire: &WireReport) -> Report {
     Report {
         busy: wire.busy,
         orders: wire.sequence,
         waiting: wire.queued,
         running: wire.running,
         pace: wire.pace.unwrap_or(1.0),
-        weights: held.filter(|v| complete && *v > 0),
+        weights: decode::complete(&wire.models, wire.layers.as_ref()),
         born: wire.born.unwrap_or(0),
     }
 }
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -20,8 +20,6 @@
 const LENGTH_HINT: HeaderName = HeaderName::from_static("x-corianderramp-length-hint");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-corianderramp-not-run");
-/// Running and waiting requests and slots of a target, separated by commas.
-const LOAD: HeaderName = HeaderName::from_static("x-corianderramp-server-load");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -44,17 +42,6 @@
     pub model: Option<String>,
 }
 
-/// Load that a target reports with an answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Load {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait for a slot.
-    pub waiting: u32,
-    /// Requests that can run at once.
-    pub slots: u32,
-}
-
 fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
     let value = headers.get(name)?.to_str().ok()?;
     Some(value.trim().to_owned())
@@ -112,18 +99,6 @@
     headers.contains_key(NOT_RUN)
 }
 
-/// Load that a target reports with its answer.
-#[must_use]
-pub fn load(headers: &HeaderMap) -> Option<Load> {
-    let text = text(headers, &LOAD)?;
-    let mut parts = text.split(',').map(|s| s.trim().parse().ok());
-    Some(Load {
-        running: parts.next()??,
-        waiting: parts.next()??,
-        slots: parts.next()??,
-    })
-}
-
 /// What this system tells a target beyond the caller's own headers.
 #[derive(Clone, Debug)]
 pub struct Envelope<'a> {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -116,11 +116,10 @@
     fn any_header_value_is_read(value in proptest::collection::vec(32_u8..127, 0..60)) {
         let mut headers = HeaderMap::new();
         let value = http::HeaderValue::from_bytes(&value).unwrap();
-        for name in ["x-corianderramp-token-count", "x-corianderramp-deadline-ms", "last-event-id", "connection", "x-corianderramp-server-load"] {
+        for name in ["x-corianderramp-token-count", "x-corianderramp-deadline-ms", "last-event-id", "connection"] {
             headers.insert(name, value.clone());
         }
         let _ = request::terms(&headers);
-        let _ = request::load(&headers);
         let _ = request::forward(&headers, &envelope());
     }
 }
