--- a/standins/src/harness/process.rs
+++ b/standins/src/harness/process.rs
@@ -18,17 +18,19 @@
 }
 
 impl Process {
-    /// Starts `program`; its standard error is appended to the file `log`.
+    /// Starts `program`; its output is appended to the file `log`.
     ///
     /// # Errors
     /// Fails when the program can't be started or the file can't be written.
     pub fn start(program: &Path, arguments: &[&Path], log: &Path) -> Result<Self, toolkit::Error> {
         let file = File::options().create(true).append(true).open(log);
+        let file = file.context(IoSnafu { what: log })?;
+        let output = file.try_clone().context(IoSnafu { what: log })?;
         let child = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(file.context(IoSnafu { what: log })?)
+            .stdout(output)
+            .stderr(file)
             .spawn()
             .context(IoSnafu { what: program })?;
         Ok(Self { child })
@@ -61,6 +63,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Tells the process that its settings changed (SIGHUP).
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Waits until the process has ended; `None` when it has not within `limit`,
     /// otherwise whether its exit status was 0.
     pub async fn ended(&mut self, limit: Duration) -> Option<bool> {
--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -114,6 +114,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Serves all addresses again.
+    pub fn accept(&self) {
+        self.refused.lock().clear();
+    }
+
     fn change(&self, kind: &str, name: &str, spec: Option<Value>) {
         let mut changes = self.changes.lock();
         let revision = changes.len() as u64 + 1;
@@ -210,6 +215,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Whether the target ran it.
+    pub ran: bool,
 }
 
 /// Weights of a target.
@@ -312,12 +319,13 @@
         }
         let id = parts.headers.get("x-corianderramp-request-id").cloned();
         let after = parts.headers.get("last-event-id").cloned();
+        let script = self.script.lock().clone();
         self.received.lock().push(Received {
             uri: parts.uri,
             headers: parts.headers,
             body: data,
+            ran: script != Script::NotRun,
         });
-        let script = self.script.lock().clone();
         let mut answer = self.act(&script, after).await?;
         let headers = answer.headers_mut();
         if let Some(id) = id {
