Wait in the stream test until the breaking target gets a request

All six answers were whole, but none of the requests had been placed on the target that breaks off, so that nothing had to be resumed: the placement is random, and on a busy machine the first target's host may be heard later. The test now sends until that target got a request; every answer must be whole as before, and the resumption after event 4 is still required.

--- a/standins/tests/users_platform.rs
+++ b/standins/tests/users_platform.rs
@@ -288,11 +288,20 @@
     settle(gateway, Method::POST, "/plan/x").await;
     first.set(Script::Events(1, 4));
     second.set(Script::Events(1, 10));
-    for i in 0..6 {
-        let answer = call(gateway, request(Method::POST, "/plan/x", &format!("s{i}")))
-            .await
-            .unwrap();
+    // Placement is random, so requests go on until one was sent to the first target.
+    let before = first.received().len();
+    let begin = time::Instant::now();
+    for i in 0.. {
+        let sent = request(Method::POST, "/plan/x", &format!("s{i}"));
+        let answer = call(gateway, sent).await.unwrap();
         assert_eq!(String::from_utf8_lossy(answer.body()), events(1..=10));
+        if first.received().len() > before {
+            break;
+        }
+        assert!(
+            begin.elapsed() < LIMIT,
+            "no request is sent to the first target"
+        );
     }
     let resumed = second.received();
     let after = resumed
