Ask the origin by its link's time, and let its outages move no duties

The origin failed from 20.5 to 26.5 s with 11 chunks not sent. When it was back, 46 copies of 9 chunks left it within 1.7 s: hosts had taken its outage for a failure of the hosts before them.

Ruled out: the origin's link (it was idle), rot of staged chunks (no chunk was refused by its digest), refusals of peers (2 late transfers in all).

Change: a chunk is due once the origin's link has had time to send those before it (choice::due), and a host that the origin fails starts its patience anew.

Tests: a_due_chunk_is_fetched_though_those_before_seem_unseen; origin_that_returns_sends_each_chunk_about_once failed twice without the change (28 and 22 of 18 allowed chunks) and passes with it.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -154,8 +154,17 @@
     pub name: String,
     /// Model engine, if the targets generate text.
     pub engine: Option<Engine>,
-    /// Address of the origin, if this service hands out weights.
-    pub origin: Option<SocketAddr>,
+    /// The origin of weights, if this service hands them out.
+    pub origin: Option<Origin>,
+}
+
+/// Where weights come from at first.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Origin {
+    /// Address.
+    pub address: SocketAddr,
+    /// Rate of its link, megabits a second; 0 if it is not known.
+    pub mbps: f64,
 }
 
 /// Timing and sizes of a model engine.
--- a/src/host.rs
+++ b/src/host.rs
@@ -216,8 +216,8 @@
         (target != self.target).then(|| SocketAddr::new(target.ip(), self.port))
     }
 
-    /// Address of the origin of weights.
-    fn origin(&self) -> Option<SocketAddr> {
+    /// The origin of weights.
+    fn origin(&self) -> Option<fleet::Origin> {
         let view = self.board.view();
         let config = view.config.as_ref()?;
         config.services.iter().find_map(|s| s.origin)
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -86,7 +86,10 @@
     /// When each peer of the plan was last heard.
     heard: Vec<Instant>,
     moving: Vec<Moving>,
+    began: Instant,
     advanced: Instant,
+    /// When the origin last failed to give a chunk.
+    refused: Option<Instant>,
     asked: Option<Instant>,
     origin_after: Option<Instant>,
     sender: mpsc::Sender<Done>,
@@ -173,7 +176,9 @@
             peers: Peers::default(),
             heard: Vec::new(),
             moving: Vec::new(),
+            began,
             advanced: began,
+            refused: None,
             asked: None,
             origin_after: None,
             sender,
@@ -328,16 +333,23 @@
         let now = self.host.clock.now();
         self.peers.refresh(now, STALL);
         let mut chunks = self.states();
+        // While the origin fails, the hosts before this one are not the ones that are stuck.
+        let active = self
+            .refused
+            .map_or(self.advanced, |at| at.max(self.advanced));
+        let idle = now.saturating_duration_since(active);
+        let due = self.due(now);
         while self.moving.len() < PARALLEL {
             let next = choice::next(&Situation {
                 plan: &self.plan,
                 sources: self.peers.sources(),
                 chunks: &chunks,
-                idle: now.saturating_duration_since(self.advanced),
+                idle,
                 stall: STALL,
                 chunk_size: CHUNK_SIZE,
                 strategy: rollout::Strategy::Time,
                 origin: self.origin_after.is_none_or(|after| after <= now),
+                due,
                 own: &self.host.name(),
             });
             let Some(next) = next else { return };
@@ -346,6 +358,16 @@
         }
     }
 
+    /// Chunks of this region's part that the origin's link has had time to send.
+    fn due(&self, now: Instant) -> usize {
+        let mbps = self.host.origin().map_or(0.0, |o| o.mbps);
+        let elapsed = now.saturating_duration_since(self.began);
+        let mut regions: Vec<&str> = self.host.regions.iter().map(|r| r.1.as_str()).collect();
+        regions.sort_unstable();
+        regions.dedup();
+        choice::due(mbps, elapsed, CHUNK_SIZE, regions.len())
+    }
+
     fn states(&self) -> Vec<Chunk> {
         let held = self
             .host
@@ -402,7 +424,10 @@
             warn!(version, index, peer = done.peer.as_str(), reason = reason.as_str(); "chunk not received");
         }
         if done.from == Supplier::Origin {
-            self.origin_after = done.result.is_err().then(|| now + ORIGIN_PAUSE);
+            if done.result.is_err() {
+                self.refused = Some(now);
+                self.origin_after = Some(now + ORIGIN_PAUSE);
+            }
             return;
         }
         let Some(peer) = self.peers.position(&done.peer) else {
--- a/src/host/fetch.rs
+++ b/src/host/fetch.rs
@@ -96,7 +96,7 @@
 
     async fn origin_manifest(&self, model: &str, version: u64) -> Result<Manifest, String> {
         let origin = self.origin().ok_or("no origin is configured")?;
-        let fetched = engine::manifest(origin, model, version, ORIGIN_LIMIT).await;
+        let fetched = engine::manifest(origin.address, model, version, ORIGIN_LIMIT).await;
         fetched.map_err(|e| e.to_string())
     }
 
@@ -134,7 +134,7 @@
         let broken = |reason: String| Failure::Broken { reason };
         let origin = self.origin();
         let origin = origin.ok_or_else(|| broken("no origin is configured".to_owned()))?;
-        let fetched = engine::chunk(origin, model, version, index, ORIGIN_LIMIT).await;
+        let fetched = engine::chunk(origin.address, model, version, index, ORIGIN_LIMIT).await;
         fetched.map_err(|e| broken(e.to_string()))
     }
 }
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -7,7 +7,8 @@
 use serde_json::Value;
 
 use crate::fleet::{
-    Account, Class, Config, Engine, Key, Limits, Phase, Release, Route, Service, Share, Target,
+    Account, Class, Config, Engine, Key, Limits, Origin, Phase, Release, Route, Service, Share,
+    Target,
 };
 
 /// Configuration object as the operator writes it.
@@ -52,6 +53,8 @@
     name: String,
     engine: Option<WireEngine>,
     origin: Option<SocketAddr>,
+    /// Rate of the origin's link; engines have one of another meaning within `engine`.
+    link_mbps: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -220,10 +223,14 @@
         answer: e.usual.as_ref().map_or(0.0, |u| u.answer),
         models: e.models.iter().map(|m| m.name.clone()).collect(),
     });
+    let origin = wire.origin.map(|address| Origin {
+        address,
+        mbps: wire.link_mbps.unwrap_or(0.0),
+    });
     Service {
         name: wire.name,
         engine,
-        origin: wire.origin,
+        origin,
     }
 }
 
--- a/src/weights/choice.rs
+++ b/src/weights/choice.rs
@@ -72,6 +72,9 @@
     pub strategy: rollout::Strategy,
     /// Whether the origin may be asked now.
     pub origin: bool,
+    /// Chunks of the own data centre's part that the origin's link has had time to send.
+    /// They are asked for even if no neighbour is known to have the ones before.
+    pub due: usize,
     /// Name of the own VM, which breaks ties differently in each agent.
     pub own: &'a str,
 }
@@ -100,12 +103,14 @@
 pub fn next(situation: &Situation) -> Option<Next> {
     let mut best: Option<(usize, u64, Next)> = None;
     let mut unseen = 0;
+    let mut homes = 0;
     for (chunk, state) in situation.chunks.iter().enumerate() {
         let holders = holders(situation, chunk);
-        let ahead = unseen;
+        let ahead = if homes < situation.due { 0 } else { unseen };
         let absent = matches!(state, Chunk::Missing | Chunk::Moving);
-        if situation.plan.duties[chunk].home && holders == 0 && absent {
-            unseen += 1;
+        if situation.plan.duties[chunk].home {
+            homes += 1;
+            unseen += usize::from(holders == 0 && absent);
         }
         if *state != Chunk::Missing || best.is_some_and(|b| b.0 < holders) {
             continue;
@@ -129,7 +134,7 @@
 }
 
 /// Supplier of a chunk now. `ahead` counts the chunks of the same home data
-/// centre that precede this one and that nobody is known to have.
+/// centre that precede this one and that nobody is known to have, unless this one is due.
 fn supplier(situation: &Situation, chunk: usize, ahead: usize) -> Option<Supplier> {
     let near = find(situation, chunk, &situation.plan.neighbours);
     if near.held {
@@ -201,6 +206,31 @@
     }
 }
 
+/// Chunks of one data centre's part that the origin can have sent after `elapsed`, if its
+/// link of `mbps` megabits a second is shared by the parts of `centers` data centres.
+///
+/// Load pattern: a version for dozens of targets. Agents know only their neighbours, so
+/// most chunks seem unseen long after they left the origin, and the window alone would
+/// leave its link idle; if it fails then, chunks are missing that it had time to send.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use corianderramp::weights::choice;
+///
+/// // 32 KiB take 32.8 ms of 8 Mbit/s, and every second chunk belongs to the other centre.
+/// assert_eq!(choice::due(8.0, Duration::from_secs(1), 32_768, 2), 15);
+/// ```
+#[must_use]
+pub fn due(mbps: f64, elapsed: Duration, chunk_size: u32, centers: usize) -> usize {
+    let sent = elapsed.as_secs_f64() * mbps * 1e6 / 8.0;
+    let chunks = sent / f64::from(chunk_size.max(1));
+    // Far below the largest integer, and only whole chunks count.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let whole = chunks.max(0.0) as usize;
+    whole / centers.max(1)
+}
+
 /// The window widens while nothing arrives, so that a dead agent's chunk does
 /// not hold up the ones after it.
 fn origin_window(situation: &Situation) -> usize {
--- a/src/weights/swarm.rs
+++ b/src/weights/swarm.rs
@@ -321,6 +321,7 @@
             chunk_size: part.map_or(0, |p| p.spec.chunk_size),
             strategy,
             origin: origin_ready && self.transfers.origin.is_some(),
+            due: 0,
             own: &self.ctx.settings.vm,
         })
     }
--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -3,6 +3,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -413,6 +414,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Origin {
     sent: Arc<Mutex<Vec<(u64, usize)>>>,
+    is_failing: Arc<AtomicBool>,
 }
 
 impl Origin {
@@ -428,6 +430,11 @@
         origin
     }
 
+    /// Lets chunks fail, or be sent again. Manifests are always sent.
+    pub fn fail(&self, is_failing: bool) {
+        self.is_failing.store(is_failing, Ordering::Relaxed);
+    }
+
     /// Version and position of each chunk that was sent.
     #[must_use]
     pub fn sent(&self) -> Vec<(u64, usize)> {
@@ -445,6 +452,9 @@
             let manifest = json!({"model": "m0", "version": version, "digests": digests});
             return whole(StatusCode::OK, manifest.to_string());
         };
+        if self.is_failing.load(Ordering::Relaxed) {
+            return whole(StatusCode::SERVICE_UNAVAILABLE, "");
+        }
         self.sent.lock().push((version, index));
         whole(StatusCode::OK, chunk(version, index))
     }
--- a/standins/tests/users_platform.rs
+++ b/standins/tests/users_platform.rs
@@ -364,6 +364,33 @@
     assert!(total <= CHUNKS + 2, "the origin sent {total} chunks");
 }
 
+/// When the origin comes back after an outage, the hosts that have the duty fetch, and not
+/// all hosts at once: each took the outage for a failure of the hosts before it, and the
+/// copies of the same chunks shared the origin's link.
+#[tokio::test]
+async fn origin_that_returns_sends_each_chunk_about_once() {
+    /// Shorter than the time after which an exchange gives up and begins anew.
+    const OUTAGE: Duration = Duration::from_millis(2_800);
+    let site = Site::start(14).await;
+    let mut targets = Vec::new();
+    for host in 10..18 {
+        targets.push(site.target(host, "llm", 1, Script::Events(1, 10)).await);
+        site.host(host);
+    }
+    time::sleep(Duration::from_millis(800)).await;
+    site.origin.fail(true);
+    site.store
+        .put("versions", "m0", json!({"model": "m0", "version": 2}));
+    time::sleep(OUTAGE).await;
+    site.origin.fail(false);
+    until("all targets serve version 2", || {
+        targets.iter().all(|t| t.version() == 2)
+    })
+    .await;
+    let total = site.origin.sent().iter().filter(|s| s.0 == 2).count();
+    assert!(total <= CHUNKS * 3 / 2, "the origin sent {total} chunks");
+}
+
 /// A gateway that the store turns away must still learn of a new configuration, from a
 /// scout of its region.
 #[tokio::test]
--- a/tests/weights.rs
+++ b/tests/weights.rs
@@ -96,6 +96,7 @@
     chunks: Vec<Chunk>,
     idle: Duration,
     strategy: rollout::Strategy,
+    due: usize,
 }
 
 impl Case {
@@ -111,6 +112,7 @@
             plan,
             idle: Duration::ZERO,
             strategy: rollout::Strategy::Time,
+            due: 0,
         }
     }
 
@@ -124,6 +126,7 @@
             chunk_size: 1024,
             strategy: self.strategy,
             origin: true,
+            due: self.due,
             own,
         })
     }
@@ -156,6 +159,29 @@
     assert_eq!(case.next("a-0").unwrap().from, Supplier::Origin);
 }
 
+/// Guards against an origin that stays idle because an agent does not know, of agents that
+/// are not its neighbours, that they hold the chunks before its own.
+#[test]
+fn a_due_chunk_is_fetched_though_those_before_seem_unseen() {
+    let mut case = Case::new("a-0", 200);
+    let homes: Vec<usize> = (0..200).filter(|c| case.plan.duties[*c].home).collect();
+    let own = |c: &&usize| case.plan.duties[**c].rank == Some(0);
+    let last = *homes.iter().rfind(own).unwrap();
+    for (chunk, state) in case.chunks.iter_mut().enumerate() {
+        let mine = case.plan.duties[chunk].rank == Some(0);
+        if mine && chunk != last {
+            *state = Chunk::Staged;
+        }
+    }
+    assert_eq!(case.next("a-0"), None);
+    case.due = homes.len();
+    let expected = Next {
+        chunk: last,
+        from: Supplier::Origin,
+    };
+    assert_eq!(case.next("a-0"), Some(expected));
+}
+
 /// Guards against a reachable agent that does not advance holding a rollout
 /// up, and against taking over too early when origin bytes matter more.
 #[test]
