Send chunks to peers one after the other

Their slices took turns on the link, so all copies arrived about 0.5 s later (90 % within 1.4 s) and none could be passed on before. A version took 5.2 s to the middle host.

Ruled out: the origin (its copy had left at 20.2 s, 2 s after the naming).

Change: an upload gets its slot on the link when it is asked for; a host with more than 450 ms of uploads says so and the peer asks elsewhere. The catalog still overtakes chunks.

Tests: copies_of_a_rare_chunk_arrive_one_after_the_other and an_urgent_item_overtakes_chunks_and_delays_them state the decision; they were not run against the old slices, whose interface differs.

--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use log::{info, warn};
+use log::{info, log};
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::time;
@@ -421,7 +421,12 @@
         let (version, index) = (self.manifest.version, done.chunk);
         if let Err(failure) = &done.result {
             let reason = failure.to_string();
-            warn!(version, index, peer = done.peer.as_str(), reason = reason.as_str(); "chunk not received");
+            let level = match failure {
+                // Thousands of these are usual while a version spreads.
+                Failure::Busy => log::Level::Debug,
+                _ => log::Level::Warn,
+            };
+            log!(level, version, index, peer = done.peer.as_str(), reason = reason.as_str(); "chunk not received");
         }
         if done.from == Supplier::Origin {
             if done.result.is_err() {
--- a/src/host/fetch.rs
+++ b/src/host/fetch.rs
@@ -44,6 +44,7 @@
     match answer.status() {
         StatusCode::OK => Ok(answer.into_body()),
         StatusCode::NOT_FOUND => Err(Failure::Absent),
+        StatusCode::TOO_MANY_REQUESTS => Err(Failure::Busy),
         status => Err(broken(format!("{address} answered {status}"))),
     }
 }
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -20,6 +20,7 @@
 use crate::host::Host;
 use crate::net;
 use crate::node::relay;
+use crate::place::pace::Slot;
 
 /// Time in which the origin sends a manifest for a peer.
 const MANIFEST_WAIT: Duration = Duration::from_secs(1);
@@ -30,6 +31,9 @@
 /// Share of the VM's link that uploads use while its target serves none, and that the
 /// catalog uses at any time: it is short and urgent.
 const IDLE_SHARE: f64 = 0.95;
+/// Uploads that wait for the link, at most; peers ask elsewhere meanwhile. About ten chunks
+/// on the narrowest links of today's sites.
+const MAX_QUEUE: Duration = Duration::from_millis(450);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -102,7 +106,12 @@
         let query = uri.query().unwrap_or_default();
         let (board, contact) = (&host.board, &host.contact);
         let found = relay::answer(board, contact, &host.cache, query, &host.clock).await;
-        return respond(host, found, StatusCode::SERVICE_UNAVAILABLE, IDLE_SHARE);
+        let found = found.ok_or(StatusCode::SERVICE_UNAVAILABLE);
+        return respond(host, found, IDLE_SHARE, true);
+    }
+    if host.uploads.lock().queue(host.clock.now()) > MAX_QUEUE {
+        let busy = Err(StatusCode::TOO_MANY_REQUESTS);
+        return respond(host, busy, IDLE_SHARE, true);
     }
     let found = match parse(uri.path()) {
         Some((model, version, Item::Manifest)) => manifest(host, model, version).await,
@@ -114,38 +123,50 @@
     } else {
         IDLE_SHARE
     };
-    respond(host, found, StatusCode::NOT_FOUND, share)
+    let found = found.ok_or(StatusCode::NOT_FOUND);
+    respond(host, found, share, false)
 }
 
 fn respond<C: Clock>(
-    host: &Arc<Host<C>>,
-    found: Option<Bytes>,
-    absent: StatusCode,
+    host: &Host<C>,
+    found: Result<Bytes, StatusCode>,
     share: f64,
+    is_urgent: bool,
 ) -> Response<StreamBody<impl Stream<Item = Result<Frame<Bytes>, Infallible>> + use<C>>> {
-    let status = found.as_ref().map_or(absent, |_| StatusCode::OK);
-    let rest = found.unwrap_or_default();
-    let mut response = Response::new(StreamBody::new(slices(host.clone(), rest, share)));
+    let (status, data) = match found {
+        Ok(data) => (StatusCode::OK, data),
+        Err(status) => (status, Bytes::new()),
+    };
+    let now = host.clock.now();
+    let mut uploads = host.uploads.lock();
+    let slot = if is_urgent {
+        uploads.overtake(data.len(), share, now)
+    } else {
+        uploads.reserve(data.len(), share, now)
+    };
+    drop(uploads);
+    let clock = host.clock.clone();
+    let mut response = Response::new(StreamBody::new(slices(clock, data, slot)));
     *response.status_mut() = status;
     response
 }
 
-/// Sends data in slices at the pace of the host's uploads, so that the requests of the
-/// target on the same link never wait behind a whole chunk.
+/// Sends data in slices during its slot on the link, so that the requests of the target on
+/// the same link never wait behind a whole chunk.
 fn slices<C: Clock>(
-    host: Arc<Host<C>>,
+    clock: C,
     data: Bytes,
-    share: f64,
+    slot: Slot,
 ) -> impl Stream<Item = Result<Frame<Bytes>, Infallible>> {
-    stream::unfold((host, data), move |(host, mut rest)| async move {
+    let length = data.len();
+    stream::unfold((clock, data), move |(clock, mut rest)| async move {
         if rest.is_empty() {
             return None;
         }
+        let at = slot.at(length - rest.len(), length);
         let slice = rest.split_to(rest.len().min(SLICE));
-        let now = host.clock.now();
-        let wait = host.uploads.lock().reserve(slice.len(), share, now);
-        time::sleep(wait).await;
-        Some((Ok(Frame::data(slice)), (host, rest)))
+        time::sleep(at.saturating_duration_since(clock.now())).await;
+        Some((Ok(Frame::data(slice)), (clock, rest)))
     })
 }
 
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use corianderramp::place::ledger::{Ask, Ledger, Ticket, Verdict};
+use corianderramp::place::pace::Pace;
 use corianderramp::place::patience::Pressure;
 
 const OBJECTIVE: Duration = Duration::from_millis(400);
@@ -153,3 +154,30 @@
         assert!(pressure.retry_after(left, 0.99) <= left / 3 + Duration::from_millis(1));
     }
 }
+
+/// Guards against copies of a rare chunk that are sent side by side: the first of them
+/// could be passed on only when the last was there.
+#[test]
+fn copies_of_a_rare_chunk_arrive_one_after_the_other() {
+    let now = Instant::now();
+    let mut pace = Pace::new(8.0, now);
+    let slots: Vec<_> = (0..6).map(|_| pace.reserve(10_000, 1.0, now)).collect();
+    for (before, slot) in (0..).zip(&slots) {
+        assert_eq!(slot.begin, now + Duration::from_millis(10) * before);
+        assert_eq!(slot.end, slot.begin + Duration::from_millis(10));
+    }
+    assert_eq!(pace.queue(now), Duration::from_millis(60));
+}
+
+/// Guards against a change of the configuration that waits behind chunks, and against an
+/// item that takes link time which others count on.
+#[test]
+fn an_urgent_item_overtakes_chunks_and_delays_them() {
+    let now = Instant::now();
+    let mut pace = Pace::new(8.0, now);
+    pace.reserve(50_000, 1.0, now);
+    let urgent = pace.overtake(2_000, 1.0, now);
+    assert_eq!(urgent.begin, now);
+    let next = pace.reserve(10_000, 1.0, now);
+    assert_eq!(next.begin, now + Duration::from_millis(52));
+}
