Load a version that is here instead of waiting for one that can't come

Version 3 was named at 20.0 s and the origin failed from 20.5 to 26.5 s. By the times of their naming alone version 3 could replace version 2, so all hosts waited until 25 s and then loaded version 2 at once.

Ruled out: the fetch (complete at 22.5 s), orders (each accepted at once).

Change: a host waits for a newer version only while the chunks that are missing can arrive before the older one is due; a version that was late is still loaded in waves, closer together.

Tests: late_version_is_still_loaded_in_waves and version_waits_only_for_a_newer_one_that_can_arrive; the first fails with the old times (all waves passed), the second's decision is new.

--- a/src/host/plan.rs
+++ b/src/host/plan.rs
@@ -15,11 +15,15 @@
 /// Time before the bound at which a target stops waiting for a newer version.
 const LAST_MARGIN: Duration = Duration::from_secs(1);
 
-/// When the host of rank `rank` switches to a version named at `named`.
+/// When the host of rank `rank` switches to a version that was named at `named`, was ready
+/// to load at `ready` and must be in use `bound` after its naming. Waves that can't keep
+/// their distance within the bound move closer.
 #[must_use]
-pub fn switch_at(named: Instant, rank: usize) -> Instant {
+pub fn switch_at(named: Instant, ready: Instant, rank: usize, bound: Duration) -> Instant {
     let wave = u32::try_from(rank).unwrap_or(0) % WAVES;
-    named + FIRST_WAVE + WAVE_INTERVAL * wave
+    let first = ready.max(named + FIRST_WAVE);
+    let left = latest(named, bound).saturating_duration_since(first);
+    first + WAVE_INTERVAL.min(left / WAVES) * wave
 }
 
 /// When the host must switch to a version named at `named` at the latest, even if a newer
@@ -29,6 +33,23 @@
     named + bound.saturating_sub(LAST_MARGIN)
 }
 
+/// Whether a newer version, of whose `total` chunks `missing` are not here at `now`, can be
+/// complete by `latest`, so that a target may wait for it instead of loading twice.
+///
+/// Load pattern: two versions are named within seconds and the origin fails between them.
+/// The first is here; the second can't be in time, and waiting for it only delays the
+/// first until all targets load it at once, shortly before it is due.
+#[must_use]
+pub fn arrives(now: Instant, missing: usize, total: usize, latest: Instant) -> bool {
+    let part = if total == 0 {
+        FETCH
+    } else {
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        FETCH * count(missing) / count(total)
+    };
+    now + part <= latest
+}
+
 /// Whether to wait with a version that is not in use yet because a newer one, named at
 /// `newer`, may be complete before the older one is due. `named` is when the older one
 /// was named and `bound` how long after that no request may begin on still older weights.
--- a/src/host/plan_test.rs
+++ b/src/host/plan_test.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::{FETCH, LAST_MARGIN, WAVE_INTERVAL, WAVES, latest, skips, switch_at};
+use super::{FETCH, LAST_MARGIN, WAVE_INTERVAL, WAVES, arrives, latest, skips, switch_at};
 
 const BOUND: Duration = Duration::from_secs(8);
 
@@ -8,9 +8,7 @@
 #[test]
 fn targets_switch_in_waves_within_the_bound() {
     let named = Instant::now();
-    let mut times: Vec<Duration> = (0..12).map(|rank| switch_at(named, rank) - named).collect();
-    times.sort_unstable();
-    times.dedup();
+    let times = waves(named, named);
     assert_eq!(times.len(), WAVES as usize);
     assert!(
         times.iter().all(|t| named + *t <= latest(named, BOUND)),
@@ -19,6 +17,37 @@
     assert!(times.windows(2).all(|w| w[0] + WAVE_INTERVAL == w[1]));
 }
 
+fn waves(named: Instant, ready: Instant) -> Vec<Duration> {
+    let at = |rank| switch_at(named, ready, rank, BOUND) - named;
+    let mut times: Vec<Duration> = (0..12).map(at).collect();
+    times.sort_unstable();
+    times.dedup();
+    times
+}
+
+/// Guards against all targets loading a version at once because it was late: the times of
+/// all waves had passed when its last chunks arrived.
+#[test]
+fn late_version_is_still_loaded_in_waves() {
+    let named = Instant::now();
+    let ready = Duration::from_millis(5_500);
+    let times = waves(named, named + ready);
+    assert_eq!(times.len(), WAVES as usize);
+    assert_eq!(times[0], ready);
+    assert!(named + times[times.len() - 1] <= latest(named, BOUND));
+}
+
+/// Guards against a complete version that waits, until it is nearly due, for a newer one
+/// of which nothing can be fetched.
+#[test]
+fn version_waits_only_for_a_newer_one_that_can_arrive() {
+    let now = Instant::now();
+    let until = now + Duration::from_millis(2_800);
+    assert!(!arrives(now, 64, 64, until));
+    assert!(!arrives(now, 0, 0, until), "its manifest is not here");
+    assert!(arrives(now, 40, 64, until));
+}
+
 /// Guards against loading a version that is replaced before it is due, and against
 /// skipping one when the newer can't be there in time.
 #[test]
--- a/src/host/switch.rs
+++ b/src/host/switch.rs
@@ -82,14 +82,22 @@
         manifest.is_some_and(|m| self.chunks.missing(&m).is_empty())
     }
 
-    /// Whether a version that may replace `wanted` is on its way.
+    /// Whether a version that may replace `wanted` can be here before `wanted` is due.
     fn awaits_newer(&self, wanted: &Wanted, named: Instant) -> bool {
         let view = self.board.view();
         let history = view.named(&wanted.model).map(|n| n.history.as_slice());
-        let bound = self.bounds.weights();
-        let newer =
-            |(v, at): &(u64, Instant)| *v > wanted.version && plan::skips(named, *at, bound);
-        history.unwrap_or_default().iter().any(newer)
+        let now = self.clock.now();
+        let latest = plan::latest(named, self.bounds.weights());
+        let newer = history
+            .unwrap_or_default()
+            .iter()
+            .filter(|(v, _)| *v > wanted.version);
+        newer.into_iter().any(|(version, _)| {
+            let manifest = self.chunks.manifest(&wanted.model, *version);
+            let (missing, total) =
+                manifest.map_or((0, 0), |m| (self.chunks.missing(&m).len(), m.digests.len()));
+            plan::arrives(now, missing, total, latest)
+        })
     }
 
     /// Whether another version is wanted by now.
@@ -165,8 +173,9 @@
         if let Some(named) = wanted.named
             && self.engine.borrow().weights.is_some()
         {
-            let at = plan::switch_at(named, self.rank());
-            let latest = plan::latest(named, self.bounds.weights());
+            let bound = self.bounds.weights();
+            let at = plan::switch_at(named, self.clock.now(), self.rank(), bound);
+            let latest = plan::latest(named, bound);
             while self.clock.now() < at
                 || (self.awaits_newer(wanted, named) && self.clock.now() < latest)
             {
