Fetch only the newest of versions that were learned together

Ruled out: the origin (each copy left it in 2.2 s); a longer time for version 3 (it is due from the moment that it was learned).

Change: of two versions named within 0.5 s the newer is fetched first, and a fetch of the older one that has just begun gives way.

Test: versions_learned_together_are_not_both_fetched states the new decision; there is no test of the two parts together.

--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -256,10 +256,8 @@
             if now.saturating_duration_since(self.advanced) >= GIVE_UP {
                 return false;
             }
-            if self
-                .host
-                .superseded(&self.manifest.model, self.manifest.version)
-            {
+            let (model, version) = (&self.manifest.model, self.manifest.version);
+            if host.superseded(model, version) || host.gives_way(model, version) {
                 return false;
             }
             self.ask_peers();
--- a/src/host/plan.rs
+++ b/src/host/plan.rs
@@ -12,6 +12,8 @@
 const WAVE_INTERVAL: Duration = Duration::from_millis(1_300);
 /// Waves in which the targets of a service switch, so that two thirds of them serve.
 const WAVES: u32 = 3;
+/// Time between the namings of two versions up to which the older one is hardly begun.
+const TOGETHER: Duration = Duration::from_millis(500);
 /// Time before the bound at which a target stops waiting for a newer version.
 const LAST_MARGIN: Duration = Duration::from_secs(1);
 
@@ -50,6 +52,24 @@
     now + part <= latest
 }
 
+/// Whether the chunks of a newer version, named at `newer`, are fetched before those of an
+/// older one that was named at `older`.
+///
+/// Load pattern: two versions are named while the store is out of reach, and hosts learn of
+/// both at once. Fetching both takes twice as long, and the second is late, although
+/// nobody needs the first any more.
+#[must_use]
+pub fn is_fetched_first(older: Instant, newer: Instant) -> bool {
+    newer.saturating_duration_since(older) < TOGETHER
+}
+
+/// Whether a fetch of the older version that has begun ends at `now` in favour of the newer
+/// one. Later, the newer one has given up and the older one gets its turn.
+#[must_use]
+pub fn gives_way(older: Instant, newer: Instant, now: Instant) -> bool {
+    is_fetched_first(older, newer) && now.saturating_duration_since(newer) < TOGETHER
+}
+
 /// Whether to wait with a version that is not in use yet because a newer one, named at
 /// `newer`, may be complete before the older one is due. `named` is when the older one
 /// was named and `bound` how long after that no request may begin on still older weights.
--- a/src/host/plan_test.rs
+++ b/src/host/plan_test.rs
@@ -1,6 +1,9 @@
 use std::time::{Duration, Instant};
 
-use super::{FETCH, LAST_MARGIN, WAVE_INTERVAL, WAVES, arrives, latest, skips, switch_at};
+use super::{
+    FETCH, LAST_MARGIN, WAVE_INTERVAL, WAVES, arrives, gives_way, is_fetched_first, latest, skips,
+    switch_at,
+};
 
 const BOUND: Duration = Duration::from_secs(8);
 
@@ -37,6 +40,19 @@
     assert!(named + times[times.len() - 1] <= latest(named, BOUND));
 }
 
+/// Guards against two versions that are fetched one after the other although hosts learned
+/// of both at the same time, and against leaving an older one that is half here.
+#[test]
+fn versions_learned_together_are_not_both_fetched() {
+    let older = Instant::now();
+    assert!(is_fetched_first(older, older + Duration::from_millis(20)));
+    assert!(!is_fetched_first(older, older + Duration::from_secs(2)));
+    let newer = older + Duration::from_millis(170);
+    assert!(gives_way(older, newer, newer));
+    let stalled = newer + Duration::from_secs(3);
+    assert!(!gives_way(older, newer, stalled), "the newer one gave up");
+}
+
 /// Guards against a complete version that waits, until it is nearly due, for a newer one
 /// of which nothing can be fetched.
 #[test]
--- a/src/host/switch.rs
+++ b/src/host/switch.rs
@@ -106,6 +106,18 @@
         self.wanted().is_some_and(newer)
     }
 
+    /// Whether the fetch of a version ends because a newer one is fetched first.
+    pub(super) fn gives_way(&self, model: &str, version: u64) -> bool {
+        let view = self.board.view();
+        let history = view.named(model).map(|n| n.history.as_slice());
+        let history = history.unwrap_or_default();
+        let older = history.iter().find(|(v, _)| *v == version);
+        let newer = history.last().filter(|(v, _)| *v > version);
+        let now = self.clock.now();
+        let times = older.zip(newer);
+        times.is_some_and(|(older, newer)| plan::gives_way(older.1, newer.1, now))
+    }
+
     /// Newest version that was named, if the target does not serve it.
     fn newest(&self) -> Option<Wanted> {
         let wanted = self.wanted()?;
@@ -122,8 +134,8 @@
         })
     }
 
-    /// Fetches the chunks of what the target is to serve, and then those of the newest
-    /// version, until the process ends. Peers depend on it also while this target waits
+    /// Fetches the chunks of what the target is to serve and those of the newest version,
+    /// until the process ends. Peers depend on it also while this target waits
     /// for its turn to switch.
     pub(super) async fn gather(self: Arc<Self>) {
         let mut ticks = time::interval(INTERVAL);
@@ -133,7 +145,14 @@
             if !self.reachable() {
                 continue;
             }
-            for wanted in [self.wanted(), self.newest()].into_iter().flatten() {
+            let mut order = [self.wanted(), self.newest()];
+            if let [Some(next), Some(newest)] = &order
+                && let (Some(older), Some(newer)) = (next.named, newest.named)
+                && plan::is_fetched_first(older, newer)
+            {
+                order.reverse();
+            }
+            for wanted in order.into_iter().flatten() {
                 let Some(manifest) = self.manifest(&wanted.model, wanted.version).await else {
                     time::sleep(MANIFEST_PAUSE).await;
                     continue;
