--- a/standins/tests/users_platform.rs
+++ b/standins/tests/users_platform.rs
@@ -366,6 +366,23 @@
     assert!(total <= CHUNKS + 2, "the origin sent {total} chunks");
 }
 
+/// After a loss of power all targets are empty and all processes start anew: requests must
+/// be served again within the users' recovery time.
+#[tokio::test]
+async fn fleet_without_weights_serves_within_the_recovery_time() {
+    const RECOVERY: Duration = Duration::from_secs(12);
+    let site = Site::start(16).await;
+    site.store
+        .put("versions", "m0", json!({"model": "m0", "version": 3}));
+    for host in 10..14 {
+        site.target(host, "llm", 0, Script::Events(1, 10)).await;
+        site.host(host);
+    }
+    let served = settle(site.gateway(20), Method::POST, "/plan/x");
+    let answer = time::timeout(RECOVERY, served).await.unwrap();
+    assert_eq!(answer.body(), &events(1..=10));
+}
+
 /// When the origin comes back after an outage, the hosts that have the duty fetch, and not
 /// all hosts at once: each took the outage for a failure of the hosts before it, and the
 /// copies of the same chunks shared the origin's link.
