Send the catalog through a tree of relays, as changes

Ruled out: more relays (the link between regions is what binds), longer timeouts (the same bytes again).

Change: the first relay of a region follows the store, the others follow it, and all other nodes follow the relays. A starting node finds the relays with one stale list of targets. Relays send changes of the configuration and of targets to followers that know an older revision. A follower adds the time on the way to the age of releases. Removed targets are remembered, so that an older update doesn't bring them back. A topic is decompressed up to a limit.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 pub mod catalog;
+pub mod diff;
 pub mod routes;
 
 /// One version of the deployment's configuration.
@@ -39,6 +40,14 @@
         found.ok().map(|i| &self.services[i])
     }
 
+    /// Returns the longest latency objective of the routes to a service; `None` without any.
+    #[must_use]
+    pub fn longest_objective(&self, service: &str) -> Option<Duration> {
+        let leads = |r: &&Route| r.split.iter().any(|s| s.service == service);
+        let routes = self.routes.iter().filter(leads);
+        routes.map(|r| r.objective).max()
+    }
+
     /// Returns the account that owns the API key `key`.
     #[must_use]
     pub fn account(&self, key: &str) -> Option<&Account> {
@@ -255,6 +264,9 @@
     /// Start of this lifetime, Unix milliseconds; 0 if unknown.
     #[serde(rename = "born")]
     pub started: u64,
+    /// Whether it is a model engine, next to which a host runs.
+    #[serde(default, rename = "engine")]
+    pub has_engine: bool,
     /// Version of the weights that it holds completely; `None` without an engine or
     /// complete weights.
     pub weights: Option<u64>,
--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -53,14 +53,36 @@
     pub config_revision: u64,
     /// Targets, sorted by id.
     pub targets: Vec<Entry<Target>>,
-    /// Store revision up to which `targets` is complete.
+    /// Store revision up to which `targets` is complete; 0 while they are only hints.
     pub targets_revision: u64,
+    /// Recently removed targets, sorted by name.
+    pub removals: Vec<Removal>,
+    /// Store revision up to which removals may be missing from `removals`.
+    pub removals_floor: u64,
     /// Releases, sorted by object name.
     pub releases: Vec<Entry<ReleaseHistory>>,
     /// Store revision up to which `releases` is complete.
     pub releases_revision: u64,
 }
 
+/// Removal of an object from the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Removal {
+    /// Name of the object.
+    pub name: String,
+    /// Store revision at which it was gone.
+    pub revision: u64,
+}
+
+/// Changes of targets after a revision.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct TargetChanges {
+    /// Added and changed targets.
+    pub changed: Vec<Entry<Target>>,
+    /// Removed targets.
+    pub removed: Vec<Removal>,
+}
+
 /// Recent releases of a model.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ReleaseHistory {
@@ -72,6 +94,8 @@
 
 /// Maximum length of a release history; the deadline of an older version has long passed.
 const MAX_HISTORY: usize = 8;
+/// Maximum number of removals kept.
+const MAX_REMOVALS: usize = 1_024;
 
 impl ReleaseHistory {
     /// Returns the lowest version on which a request may start at `now`, if a version
@@ -82,6 +106,14 @@
         let due = self.history.iter().filter(|(_, at)| is_due(*at));
         due.map(|(version, _)| *version).max().unwrap_or(0)
     }
+
+    /// Returns when requests may no longer start on `version`, `limit` after the release of
+    /// the next one; `None` while it is the newest.
+    #[must_use]
+    pub fn start_limit(&self, version: u64, limit: Duration) -> Option<Instant> {
+        let newer = self.history.iter().filter(|(v, _)| *v > version);
+        newer.map(|(_, released)| *released + limit).min()
+    }
 }
 
 impl Catalog {
@@ -105,9 +137,95 @@
         }
         list.sort_by(|a, b| a.name.cmp(&b.name));
         self.targets_revision = revision;
-        let changed = self.targets != list;
+        if self.targets == list {
+            return false;
+        }
+        let before = std::mem::replace(&mut self.targets, list);
+        for entry in before {
+            if self.target(&entry.name).is_none() {
+                self.record_removal(entry.name, revision);
+            }
+        }
+        true
+    }
+
+    /// Adopts a list of targets of unknown age while none is known; returns whether it did.
+    /// It tells where relays may run, and the first complete list replaces it.
+    pub fn hint_targets(&mut self, mut list: Vec<Entry<Target>>) -> bool {
+        if self.targets_revision > 0 || list.is_empty() {
+            return false;
+        }
+        list.sort_by(|a, b| a.name.cmp(&b.name));
         self.targets = list;
-        changed
+        true
+    }
+
+    /// Changes of targets after `revision`; `None` if the removals don't reach back to it.
+    #[must_use]
+    pub fn target_changes(&self, revision: u64) -> Option<TargetChanges> {
+        if revision == 0 || revision < self.removals_floor {
+            return None;
+        }
+        let changed = self.targets.iter().filter(|t| t.revision > revision);
+        let removed = self.removals.iter().filter(|r| r.revision > revision);
+        Some(TargetChanges {
+            changed: changed.cloned().collect(),
+            removed: removed.cloned().collect(),
+        })
+    }
+
+    /// Applies all changes after `base` up to `revision`; returns whether the targets changed.
+    /// Ignores them if the targets are not complete up to `base`.
+    pub fn apply_target_changes(
+        &mut self,
+        base: u64,
+        revision: u64,
+        changes: TargetChanges,
+    ) -> bool {
+        if self.targets_revision < base {
+            return false;
+        }
+        let mut any = false;
+        for Removal { name, revision } in changes.removed {
+            let value = None;
+            any |= self.update_target(Entry {
+                name,
+                revision,
+                value,
+            });
+        }
+        for entry in changes.changed {
+            any |= self.update_target(Entry {
+                name: entry.name,
+                revision: entry.revision,
+                value: Some(entry.value),
+            });
+        }
+        self.advance_targets(revision);
+        any
+    }
+
+    fn record_removal(&mut self, name: String, revision: u64) {
+        match self.removals.binary_search_by(|r| r.name.cmp(&name)) {
+            Ok(i) => self.removals[i].revision = self.removals[i].revision.max(revision),
+            Err(i) => self.removals.insert(i, Removal { name, revision }),
+        }
+        if self.removals.len() <= MAX_REMOVALS {
+            return;
+        }
+        let removals = self.removals.iter().enumerate();
+        if let Some((oldest, _)) = removals.min_by_key(|(_, r)| r.revision) {
+            let dropped = self.removals.remove(oldest);
+            self.removals_floor = self.removals_floor.max(dropped.revision);
+        }
+    }
+
+    /// Whether a target was removed at `revision` or later.
+    fn is_removed_since(&self, name: &str, revision: u64) -> bool {
+        let found = self
+            .removals
+            .binary_search_by(|r| r.name.as_str().cmp(name));
+        found.is_ok_and(|i| self.removals[i].revision >= revision)
     }
 
     /// Raises the revision up to which the targets are complete.
@@ -118,9 +236,12 @@
     /// Adds, replaces or, with a value of `None`, removes a target; returns whether the
     /// targets changed.
     ///
-    /// Ignores a revision that is not newer than the target's, and the value of an earlier
-    /// lifetime.
+    /// Ignores a revision that is not newer than the target's or than its removal, and the
+    /// value of an earlier lifetime.
     pub fn update_target(&mut self, update: Entry<Option<Target>>) -> bool {
+        if self.is_removed_since(&update.name, update.revision) {
+            return false;
+        }
         let found = self.targets.binary_search_by(|t| t.name.cmp(&update.name));
         match (found, update.value) {
             (Ok(i), _) if self.targets[i].revision >= update.revision => false,
@@ -136,9 +257,11 @@
             }
             (Ok(i), None) => {
                 self.targets.remove(i);
+                self.record_removal(update.name, update.revision);
                 true
             }
             (Err(i), Some(value)) => {
+                self.removals.retain(|r| r.name != update.name);
                 let entry = Entry {
                     name: update.name,
                     revision: update.revision,
@@ -147,7 +270,10 @@
                 self.targets.insert(i, entry);
                 true
             }
-            (Err(_), None) => false,
+            (Err(_), None) => {
+                self.record_removal(update.name, update.revision);
+                false
+            }
         }
     }
 
--- a/src/host.rs
+++ b/src/host.rs
@@ -45,9 +45,9 @@
 const LOAD_TIMEOUT: Duration = Duration::from_secs(12);
 /// Timeout for reading a staged chunk for a peer.
 const STAGE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time before a version is due at which a target with older weights closes, so that
-/// requests that it has queued still start in time.
-const DUE_MARGIN: Duration = Duration::from_millis(700);
+/// Time before a version is due at which a target with older weights closes while the
+/// objectives of its routes are unknown.
+const DEFAULT_MARGIN: Duration = Duration::from_millis(700);
 /// Slots of a target until the configuration is known.
 const DEFAULT_SLOTS: u32 = 1;
 /// Prompt tokens that a target reads per second until the configuration is known.
@@ -61,7 +61,7 @@
     clock: C,
     catalog: SharedCatalog,
     contact: StoreContact,
-    relay_cache: relay::Cache,
+    relay_cache: relay::codec::Cache,
     service: String,
     region: String,
     target: SocketAddr,
@@ -117,7 +117,7 @@
     let host = Arc::new(Host {
         catalog,
         contact,
-        relay_cache: relay::Cache::default(),
+        relay_cache: relay::codec::Cache::default(),
         service: target.service,
         region: settings.region.clone(),
         target: target.address,
@@ -330,7 +330,13 @@
         if registered.is_some_and(|t| t.value.phase == fleet::Phase::Draining) {
             return Some("draining");
         }
-        let limit = self.bounds.weights_limit().saturating_sub(DUE_MARGIN);
+        // Requests that the target has queued begin within their objective.
+        let objective = catalog
+            .config
+            .as_ref()
+            .and_then(|c| c.longest_objective(&self.service));
+        let margin = objective.unwrap_or(DEFAULT_MARGIN);
+        let limit = self.bounds.weights_limit().saturating_sub(margin);
         let now = self.clock.now();
         let due = catalog
             .releases
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -8,6 +8,7 @@
 use log::{debug, info, warn};
 use metrics::counter;
 use parking_lot::Mutex;
+use rand::RngExt;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -38,12 +39,15 @@
 
 /// Age assumed for releases found in a list: this node did not see when they were
 /// published, so their deadline may be close.
-const LISTED_AGE: Duration = Duration::from_secs(5);
+pub const LISTED_AGE: Duration = Duration::from_secs(5);
 
-/// Time of the store's last answer to a call of this node, shared by all topics.
+/// Time of the last contact with the store, shared by all topics.
 #[derive(Clone, Debug, Default)]
 pub struct StoreContact {
+    /// Last answer to a call of this node.
     last: Arc<Mutex<Option<Instant>>>,
+    /// Last contact of the relay that this node follows.
+    relayed: Arc<Mutex<Option<Instant>>>,
     /// Held by the topic that probes an unreachable store for all of them.
     probe_lock: Arc<tokio::sync::Mutex<()>>,
 }
@@ -53,9 +57,22 @@
         *self.last.lock() = Some(now);
     }
 
-    /// Time since the store last answered; `None` if it never did.
+    /// Records that a relay was in contact with the store at `at`.
+    pub fn record_relayed(&self, at: Instant) {
+        let mut relayed = self.relayed.lock();
+        *relayed = (*relayed).max(Some(at));
+    }
+
+    /// Time since the store last answered this node or the relay that it follows; `None` if
+    /// it never did.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Duration> {
+        let last = (*self.last.lock()).max(*self.relayed.lock());
+        last.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Time since the store last answered a call of this node.
+    fn own_age(&self, now: Instant) -> Option<Duration> {
         let last = *self.last.lock();
         last.map(|at| now.saturating_duration_since(at))
     }
@@ -65,7 +82,7 @@
 /// Returns the time of the last contact with the store, which these tasks update.
 pub fn start<C: Clock>(settings: &Settings, catalog: &SharedCatalog, clock: &C) -> StoreContact {
     let contact = StoreContact::default();
-    let (direct, is_direct) = watch::channel(true);
+    let (direct, is_direct) = watch::channel(false);
     for topic in Topic::ALL {
         tokio::spawn(run(
             topic,
@@ -76,11 +93,17 @@
             clock.clone(),
         ));
     }
-    tokio::spawn(relay::run(
+    let region = relay::Region {
+        data_centers: settings.region_data_centers(),
+        port: settings.ports[0],
+        own: settings.message_address(),
+        limit: settings.bounds.config_limit(),
+    };
+    tokio::spawn(find_relays(
+        settings.store,
         catalog.clone(),
-        settings.region_data_centers(),
-        settings.ports[0],
-        settings.message_address(),
+        contact.clone(),
+        region,
         direct,
         clock.clone(),
     ));
@@ -96,6 +119,60 @@
     contact
 }
 
+/// Finds the relays of the region and follows them until the process ends.
+///
+/// Load pattern: all nodes start at the same moment. A list of targets that may be outdated
+/// is small and cheap; the complete catalog comes from the relays that it names.
+async fn find_relays<C: Clock>(
+    store: SocketAddr,
+    catalog: SharedCatalog,
+    contact: StoreContact,
+    region: relay::Region,
+    direct: watch::Sender<bool>,
+    clock: C,
+) {
+    let mut end = clock.now() + region.limit;
+    let mut client = Client::new(store);
+    let mut backoff = INITIAL_BACKOFF;
+    while clock.now() < end {
+        match client.list_stale(Topic::Targets).await {
+            Ok(list) => {
+                let entries = list.items.into_iter().filter_map(|object| {
+                    let Object { meta, spec } = object;
+                    let value = decode::target(&meta.name, spec).ok()?;
+                    Some(Entry {
+                        name: meta.name,
+                        revision: meta.revision,
+                        value,
+                    })
+                });
+                let hints: Vec<_> = entries.collect();
+                let count = hints.len();
+                catalog.update(|c| c.hint_targets(hints));
+                let relays = region.relays(&catalog.snapshot()).len();
+                debug!(count, relays; "targets listed to find relays");
+                // Targets register one after the other while a deployment starts.
+                if relays > 0 {
+                    break;
+                }
+                let snapshot = catalog.snapshot();
+                if count > 0 && !snapshot.targets.iter().any(|t| t.value.has_engine) {
+                    end = end.min(clock.now() + region.limit / 8);
+                }
+            }
+            Err(e) => {
+                let reason = e.to_string();
+                debug!(reason = reason.as_str(); "targets not listed to find relays");
+            }
+        }
+        let jitter: f64 = rand::rng().random();
+        time::sleep(backoff.mul_f64(0.5 + jitter)).await;
+        backoff = (backoff * 2).min(MAX_BACKOFF);
+    }
+    drop(client);
+    relay::run(catalog, contact, region, direct, clock).await;
+}
+
 /// Probes the store periodically while this node follows it directly, so that followers of
 /// a relay can tell how fresh its catalog is while nothing changes.
 async fn probe_store<C: Clock>(
@@ -223,7 +300,7 @@
         loop {
             let now = self.clock.now();
             let outage = now.saturating_duration_since(failed_at);
-            if self.contact.age(now).is_some_and(|age| age < outage) {
+            if self.contact.own_age(now).is_some_and(|age| age < outage) {
                 return backoff;
             }
             time::sleep(backoff).await;
--- /dev/null
+++ b/src/node/relay/codec.rs
@@ -0,0 +1,337 @@
+//! Responses of relays: topics of the catalog, whole or as changes, compressed.
+
+use std::io::{Read, Write};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use flate2::Compression;
+use flate2::read::GzDecoder;
+use flate2::write::GzEncoder;
+use log::info;
+use parking_lot::Mutex;
+use prost::Message;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use crate::fleet::catalog::{Catalog, Entry, TargetChanges, Topic};
+use crate::fleet::diff::ConfigChange;
+use crate::fleet::{Config, Release, Target};
+use crate::node::SharedCatalog;
+use crate::node::relay::{CompressionSnafu, Error, JsonSnafu, TooLargeSnafu};
+
+/// Gzip compression level, 0 to 9.
+const GZIP_LEVEL: u32 = 4;
+/// Largest topic after decompression, bytes.
+const MAX_TOPIC: u64 = 32 * 1024 * 1024;
+/// Configurations kept for changes from them.
+const MAX_CONFIGS: usize = 8;
+/// Encoded parts kept; followers that lag behind need changes from other revisions.
+const MAX_PARTS: usize = 16;
+
+/// Response of a relay.
+#[derive(Clone, PartialEq, Message)]
+pub struct Response {
+    /// Time since the last contact of the relay, or of the relay that it follows, with the
+    /// store, milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub age_ms: u64,
+    /// Topics of which the relay has a newer revision than the follower.
+    #[prost(message, repeated, tag = "2")]
+    pub parts: Vec<Part>,
+    /// Time for which the relay held the request before it sent the response, milliseconds.
+    /// The rest of the follower's wait passed on the way.
+    #[prost(uint64, tag = "3")]
+    pub held_ms: u64,
+}
+
+/// One topic of the catalog.
+#[derive(Clone, PartialEq, Message)]
+pub struct Part {
+    /// Position in [`Topic::ALL`].
+    #[prost(uint32, tag = "1")]
+    pub topic: u32,
+    /// Store revision of the last change.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Gzipped JSON.
+    #[prost(bytes = "vec", tag = "3")]
+    pub data: Vec<u8>,
+    /// Revision after which `data` holds the changes; 0 if it holds the whole topic.
+    #[prost(uint64, tag = "4")]
+    pub base: u64,
+}
+
+/// Revisions of all topics that a follower has, in the order of [`Topic::ALL`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Known {
+    /// Revisions; 0 for an unknown topic.
+    pub revisions: [u64; 3],
+    /// Whether the follower understands changes; processes of earlier versions don't.
+    pub takes_changes: bool,
+}
+
+impl Known {
+    /// What a node with `catalog` knows.
+    #[must_use]
+    pub fn of(catalog: &Catalog) -> Self {
+        Self {
+            revisions: Topic::ALL.map(|t| catalog.revision(t)),
+            takes_changes: true,
+        }
+    }
+
+    /// Query of a poll.
+    #[must_use]
+    pub fn query(&self) -> String {
+        let [config, targets, releases] = self.revisions;
+        format!("{config},{targets},{releases},1")
+    }
+
+    /// Parses a query; `None` if it is malformed.
+    ///
+    /// ```
+    /// use corianderramp::node::relay::codec::Known;
+    ///
+    /// let known = Known::parse("4,9,2,1").unwrap();
+    /// assert_eq!((known.revisions, known.takes_changes), ([4, 9, 2], true));
+    /// assert!(Known::parse("4,9").is_none());
+    /// ```
+    #[must_use]
+    pub fn parse(query: &str) -> Option<Self> {
+        let mut numbers = query.split(',').map(|n| n.parse().ok());
+        let revisions = [numbers.next()??, numbers.next()??, numbers.next()??];
+        Some(Self {
+            revisions,
+            takes_changes: numbers.next().is_some(),
+        })
+    }
+
+    /// Whether `catalog` has a topic of which the follower knows only an older revision.
+    #[must_use]
+    pub fn is_outdated(&self, catalog: &Catalog) -> bool {
+        let topics = Topic::ALL.iter().zip(self.revisions);
+        topics.into_iter().any(|(t, k)| catalog.revision(*t) > k)
+    }
+}
+
+/// Released versions of a model, each with the time since its release, milliseconds.
+#[derive(Deserialize, Serialize)]
+struct ReleasedVersions {
+    name: String,
+    model: String,
+    history: Vec<(u64, u64)>,
+}
+
+/// Recent configurations, and topics as encoded for followers, so that each is compressed
+/// once for all of them.
+#[derive(Debug, Default)]
+pub struct Cache {
+    parts: Mutex<Vec<Part>>,
+    configs: Mutex<Vec<(u64, Arc<Config>)>>,
+}
+
+impl Cache {
+    /// Parts that bring a follower that has `known` to `catalog`.
+    ///
+    /// # Errors
+    /// Fails when a topic can't be encoded.
+    pub fn parts(&self, catalog: &Catalog, known: Known, now: Instant) -> Result<Vec<Part>, Error> {
+        self.remember(catalog);
+        let newer = Topic::ALL
+            .into_iter()
+            .zip(known.revisions)
+            .filter(|(topic, revision)| catalog.revision(*topic) > *revision);
+        newer
+            .map(|(topic, revision)| {
+                let base = if known.takes_changes { revision } else { 0 };
+                self.part(catalog, topic, base, now)
+            })
+            .collect()
+    }
+
+    fn remember(&self, catalog: &Catalog) {
+        let Some(config) = &catalog.config else {
+            return;
+        };
+        let mut configs = self.configs.lock();
+        if configs.iter().any(|c| c.0 == catalog.config_revision) {
+            return;
+        }
+        if configs.len() == MAX_CONFIGS {
+            configs.remove(0);
+        }
+        configs.push((catalog.config_revision, config.clone()));
+    }
+
+    fn part(
+        &self,
+        catalog: &Catalog,
+        topic: Topic,
+        base: u64,
+        now: Instant,
+    ) -> Result<Part, Error> {
+        // Releases are encoded with their age, which differs in every response.
+        if topic == Topic::Releases {
+            return part(catalog, topic, 0, &releases(catalog, now));
+        }
+        let key = (topic as u32, catalog.revision(topic));
+        let mut parts = self.parts.lock();
+        let found = parts
+            .iter()
+            .find(|p| (p.topic, p.revision) == key && p.base == base);
+        if let Some(found) = found {
+            return Ok(found.clone());
+        }
+        let encoded = match topic {
+            Topic::Targets => match catalog.target_changes(base) {
+                Some(changes) => part(catalog, topic, base, &changes)?,
+                None => part(catalog, topic, 0, &catalog.targets)?,
+            },
+            _ => match self.config_change(catalog, base) {
+                Some(change) => part(catalog, topic, base, &change)?,
+                None => part(catalog, topic, 0, &catalog.config.as_deref())?,
+            },
+        };
+        if parts.len() == MAX_PARTS {
+            parts.remove(0);
+        }
+        // Stored for the revision that was asked for, also if the whole topic was encoded.
+        parts.push(Part {
+            base,
+            ..encoded.clone()
+        });
+        Ok(encoded)
+    }
+
+    fn config_change(&self, catalog: &Catalog, base: u64) -> Option<ConfigChange> {
+        let configs = self.configs.lock();
+        let old = configs.iter().find(|c| c.0 == base)?.1.clone();
+        drop(configs);
+        ConfigChange::between(&old, catalog.config.as_deref()?)
+    }
+}
+
+fn releases(catalog: &Catalog, now: Instant) -> Vec<ReleasedVersions> {
+    let age = |at: Instant| millis(now.saturating_duration_since(at));
+    let versions = catalog.releases.iter().map(|entry| ReleasedVersions {
+        name: entry.name.clone(),
+        model: entry.value.release.model.clone(),
+        history: entry
+            .value
+            .history
+            .iter()
+            .map(|(v, at)| (*v, age(*at)))
+            .collect(),
+    });
+    versions.collect()
+}
+
+/// Whole milliseconds, for messages.
+#[must_use]
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn part(
+    catalog: &Catalog,
+    topic: Topic,
+    base: u64,
+    content: &impl Serialize,
+) -> Result<Part, Error> {
+    let json = serde_json::to_vec(content).context(JsonSnafu)?;
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::new(GZIP_LEVEL));
+    encoder.write_all(&json).context(CompressionSnafu)?;
+    Ok(Part {
+        topic: topic as u32,
+        revision: catalog.revision(topic),
+        data: encoder.finish().context(CompressionSnafu)?,
+        base,
+    })
+}
+
+fn decode<T: DeserializeOwned>(data: &[u8]) -> Result<T, Error> {
+    let mut json = Vec::new();
+    let mut reader = GzDecoder::new(data).take(MAX_TOPIC);
+    reader.read_to_end(&mut json).context(CompressionSnafu)?;
+    if json.len() as u64 == MAX_TOPIC {
+        return TooLargeSnafu { limit: MAX_TOPIC }.fail();
+    }
+    serde_json::from_slice(&json).context(JsonSnafu)
+}
+
+/// Earliest time at which a relay can have sent a response that arrived at `now`, if it held
+/// the request, sent at `asked`, for `held_ms`. Releases must not seem younger than they are
+/// because a response waited in a queue on its way.
+#[must_use]
+pub fn sent_time(asked: Instant, held_ms: u64, now: Instant) -> Instant {
+    (asked + Duration::from_millis(held_ms)).min(now)
+}
+
+/// Applies a part to the catalog. `sent` is a time at or before which the relay encoded the
+/// ages of releases.
+///
+/// # Errors
+/// Fails when the part can't be decoded.
+pub fn apply(catalog: &SharedCatalog, part: &Part, sent: Instant) -> Result<(), Error> {
+    let (base, revision) = (part.base, part.revision);
+    match Topic::ALL.get(part.topic as usize) {
+        Some(Topic::Config) => {
+            let config = if base > 0 {
+                let change: ConfigChange = decode(&part.data)?;
+                let snapshot = catalog.snapshot();
+                let old = snapshot.config.as_deref();
+                old.filter(|_| snapshot.config_revision == base)
+                    .map(|old| change.apply(old))
+            } else {
+                decode(&part.data)?
+            };
+            if let Some(config) = config {
+                let version = config.version;
+                let applied = catalog.update(|c| c.update_config(revision, config));
+                info!(topic = "config", version, revision, base, applied, from = "scout"; "config received");
+            }
+        }
+        Some(Topic::Targets) => {
+            let changed = if base > 0 {
+                let changes: TargetChanges = decode(&part.data)?;
+                catalog.update(|c| c.apply_target_changes(base, revision, changes))
+            } else {
+                let list: Vec<Entry<Target>> = decode(&part.data)?;
+                catalog.update(|c| c.replace_targets(revision, list))
+            };
+            let count = catalog.snapshot().targets.len();
+            info!(topic = "targets", revision, base, count, changed, from = "scout"; "targets received");
+        }
+        Some(Topic::Releases) => {
+            let models: Vec<ReleasedVersions> = decode(&part.data)?;
+            for versions in models {
+                apply_versions(catalog, &versions, revision, sent);
+            }
+            catalog.update(|c| c.advance_releases(revision));
+        }
+        None => {}
+    }
+    Ok(())
+}
+
+fn apply_versions(
+    catalog: &SharedCatalog,
+    versions: &ReleasedVersions,
+    revision: u64,
+    sent: Instant,
+) {
+    for (version, age) in &versions.history {
+        let age = Duration::from_millis(*age);
+        let released = sent.checked_sub(age).unwrap_or(sent);
+        let release = Release {
+            model: versions.model.clone(),
+            version: *version,
+        };
+        let applied =
+            catalog.update(|c| c.add_release(&versions.name, revision, release, released));
+        if applied {
+            info!(topic = "releases", model = versions.model.as_str(), version, revision, from = "scout"; "release received");
+        }
+    }
+}
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -90,9 +90,24 @@
     /// Time after the release of a version within which requests must stop starting on
     /// older weights, milliseconds.
     pub weights_ms: u64,
+    /// Time after a change of the configuration within which it must be in force,
+    /// milliseconds.
+    #[serde(default = "default_config_ms")]
+    pub config_ms: u64,
+}
+
+/// Time for a change of the configuration in deployments that state none, milliseconds.
+fn default_config_ms() -> u64 {
+    2_000
 }
 
 impl Bounds {
+    /// Time after a change of the configuration within which it must be in force.
+    #[must_use]
+    pub fn config_limit(&self) -> Duration {
+        Duration::from_millis(self.config_ms)
+    }
+
     /// Time from SIGTERM to SIGKILL.
     #[must_use]
     pub fn stop_limit(&self) -> Duration {
@@ -135,6 +150,9 @@
         if self.bounds.stop_ms == 0 {
             return Err(("bounds.stop_ms", "must be greater than 0"));
         }
+        if self.bounds.config_ms == 0 {
+            return Err(("bounds.config_ms", "must be greater than 0"));
+        }
         if self.link_mbps.is_nan() || self.link_mbps <= 0.0 {
             return Err(("link_mbps", "must be greater than 0"));
         }
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -106,8 +106,8 @@
     state: String,
     /// Start time, Unix milliseconds; changes when the target restarts with the same id.
     born: Option<u64>,
-    #[serde(default)]
-    models: Vec<WireHeldModel>,
+    /// Missing unless the target is a model engine.
+    models: Option<Vec<WireHeldModel>>,
     layers: Option<WireLayers>,
 }
 
@@ -273,7 +273,8 @@
         slots: wire.slots,
         phase,
         started: wire.born.unwrap_or(0),
-        weights: complete_version(&wire.models, wire.layers.as_ref()),
+        has_engine: wire.models.is_some(),
+        weights: complete_version(&wire.models.unwrap_or_default(), wire.layers.as_ref()),
     })
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -137,8 +137,21 @@
     /// # Errors
     /// Fails when the store does not return all pages.
     pub async fn list(&mut self, topic: Topic) -> Result<List, Error> {
+        self.list_pages(topic, "").await
+    }
+
+    /// Lists all objects of a topic from a copy that may be seconds old. This costs a tenth
+    /// of [`Self::list`], and no watch may continue from it.
+    ///
+    /// # Errors
+    /// Fails when the store does not return all pages.
+    pub async fn list_stale(&mut self, topic: Topic) -> Result<List, Error> {
+        self.list_pages(topic, "stale_ok=1").await
+    }
+
+    async fn list_pages(&mut self, topic: Topic, options: &str) -> Result<List, Error> {
         let mut list = List::default();
-        let mut path = format!("/objects/{}", kind(topic));
+        let mut path = format!("/objects/{}?{options}", kind(topic));
         loop {
             let response = self.get(&path, RESPONSE_TIMEOUT, 0).await?;
             let page: Page = serde_json::from_slice(&response).context(MalformedSnafu)?;
@@ -149,7 +162,8 @@
             list.items.extend(page.items);
             match list.items.last() {
                 Some(object) if page.has_more => {
-                    path = format!("/objects/{}?after={}", kind(topic), object.meta.name);
+                    let after = &object.meta.name;
+                    path = format!("/objects/{}?{options}&after={after}", kind(topic));
                 }
                 _ => return Ok(list),
             }
--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -21,6 +21,9 @@
 use tokio::sync::Notify;
 use tokio::time;
 
+/// Name of the service whose targets are model engines.
+const ENGINE_SERVICE: &str = "llm";
+
 type Error = std::io::Error;
 type HttpResponse = Response<StreamBody<BoxStream<'static, Result<Frame<Bytes>, Error>>>>;
 
@@ -227,6 +230,8 @@
     /// ten, the connection then closes within an event. A resumed request starts after its
     /// last event.
     Stream(u64, u64),
+    /// Streams all events, the first one after this delay.
+    LateStream(Duration),
     /// Never responds.
     Hang,
 }
@@ -391,6 +396,16 @@
             }
             Behavior::CloseConnection => Err(connection_reset()),
             Behavior::Hang => std::future::pending().await,
+            Behavior::LateStream(delay) => {
+                let delay = *delay;
+                let events = (1..=10_u64).map(|i| format!("id: {i}\ndata: token{i}\n\n"));
+                let text = Bytes::from(events.collect::<String>());
+                let late = stream::once(async move {
+                    time::sleep(delay).await;
+                    Ok(Frame::data(text))
+                });
+                Ok(Response::new(StreamBody::new(late.boxed())))
+            }
             Behavior::Stream(first, last) => {
                 let last_event = last_event.and_then(|e| e.to_str().ok()?.parse::<u64>().ok());
                 let start = last_event.map_or(*first, |e| e + 1);
@@ -531,6 +546,10 @@
     } else {
         json!([{"name": "m0", "version": version, "adapters": []}])
     };
-    json!({"service": service, "address": address, "zone": "z-a", "slots": 4,
-        "state": "ready", "sequence": 1, "models": models, "born": 1})
+    let mut spec = json!({"service": service, "address": address, "zone": "z-a", "slots": 4,
+        "state": "ready", "sequence": 1, "born": 1});
+    if service == ENGINE_SERVICE {
+        spec["models"] = models;
+    }
+    spec
 }
--- a/standins/tests/soak_platform.rs
+++ b/standins/tests/soak_platform.rs
@@ -120,6 +120,7 @@
             bounds: Bounds {
                 stop_ms: 4_000,
                 weights_ms: 8_000,
+                config_ms: 2_000,
             },
             metrics: Some(address(9464)),
             log: settings::Log::default(),
--- a/standins/tests/users_platform.rs
+++ b/standins/tests/users_platform.rs
@@ -81,6 +81,7 @@
             bounds: Bounds {
                 stop_ms: 8_000,
                 weights_ms: 8_000,
+                config_ms: 2_000,
             },
             metrics: None,
             log: settings::Log::default(),
@@ -95,6 +96,16 @@
         self.net.address(vm, 8080)
     }
 
+    /// Starts a gateway on VM number `vm` of a deployment in which requests must not begin on
+    /// old weights later than `weights_ms` after a release.
+    fn gateway_within(&self, vm: u8, weights_ms: u64) -> SocketAddr {
+        let mut settings = self.settings(Role::Gateway, vm);
+        settings.bounds.weights_ms = weights_ms;
+        let signals = Signals::install(PathBuf::new()).unwrap();
+        tokio::spawn(gateway::run(settings, signals, clock::System));
+        self.net.address(vm, 8080)
+    }
+
     /// Starts a host on VM number `vm`.
     fn host(&self, vm: u8) {
         let settings = self.settings(Role::Host, vm);
@@ -447,6 +458,30 @@
     call_until_ok(fleet.net.address(20, 8080), Method::GET, "/new/x").await;
 }
 
+/// Load pattern: all nodes start at the same moment. If each of them listed everything, the
+/// lists would fill the links between regions and time out. One host lists for its region.
+#[tokio::test]
+async fn nodes_that_start_together_list_the_store_once() {
+    const HOSTS: std::ops::Range<u8> = 10..16;
+    const GATEWAYS: std::ops::Range<u8> = 20..32;
+    let fleet = Fleet::start(17).await;
+    let _desk = fleet.target(16, "desk", 0, Behavior::Respond("ok")).await;
+    for vm in HOSTS {
+        fleet.target(vm, "llm", 1, Behavior::Stream(1, 10)).await;
+    }
+    let before = fleet.store.full_cost_calls();
+    for vm in HOSTS {
+        fleet.host(vm);
+    }
+    let gateways: Vec<SocketAddr> = GATEWAYS.map(|vm| fleet.gateway(vm)).collect();
+    for gateway in gateways {
+        call_until_ok(gateway, Method::GET, "/check/x").await;
+    }
+    // The first relay lists three topics and watches them; a busy machine may repeat some.
+    let calls = fleet.store.full_cost_calls() - before;
+    assert!(calls <= 12, "{calls} calls of full cost");
+}
+
 /// A gateway whose calls the store rejects must still receive a new configuration, from a
 /// scout of its region.
 #[tokio::test]
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,8 +4,9 @@
 
 use std::time::{Duration, Instant};
 
-use corianderramp::fleet::catalog::{Catalog, Entry};
-use corianderramp::fleet::{Config, Phase, Release, RouteKind, Target, routes};
+use corianderramp::fleet::catalog::{Catalog, Entry, Topic};
+use corianderramp::fleet::diff::ConfigChange;
+use corianderramp::fleet::{Config, Phase, Release, Route, RouteKind, Target, routes};
 use corianderramp::platform::decode;
 use serde_json::{Value, json};
 
@@ -41,6 +42,86 @@
     assert_eq!(catalog.config.unwrap().version, 5);
 }
 
+/// An update that was sent before a target was removed and arrives after its removal must not
+/// bring the target back.
+#[test]
+fn removed_target_stays_removed() {
+    let mut catalog = Catalog::default();
+    catalog.update_target(entry("i-1", 5, Some(target("i-1", 1))));
+    assert!(catalog.update_target(entry("i-1", 8, None)));
+    assert!(!catalog.update_target(entry("i-1", 6, Some(target("i-1", 1)))));
+    assert!(catalog.target("i-1").is_none());
+    assert!(catalog.update_target(entry("i-1", 9, Some(target("i-1", 1)))));
+
+    assert!(catalog.replace_targets(12, Vec::new()));
+    assert!(!catalog.update_target(entry("i-1", 11, Some(target("i-1", 1)))));
+}
+
+/// A follower that applies the changes since its revision must know the same targets as its
+/// relay, also those that were removed.
+#[test]
+fn target_changes_bring_a_follower_up_to_date() {
+    let mut relay = Catalog::default();
+    let list = |revision| {
+        let names = ["i-1", "i-2", "i-3"];
+        names
+            .map(|n| entry(n, revision, target(n, 1)))
+            .into_iter()
+            .collect::<Vec<_>>()
+    };
+    relay.replace_targets(10, list(10));
+    let mut follower = relay.clone();
+    relay.update_target(entry("i-2", 11, None));
+    relay.update_target(entry("i-3", 12, Some(target("i-3", 2))));
+    relay.update_target(entry("i-4", 13, Some(target("i-4", 1))));
+    relay.advance_targets(13);
+
+    let changes = relay.target_changes(10).unwrap();
+    assert_eq!((changes.changed.len(), changes.removed.len()), (2, 1));
+    assert!(follower.apply_target_changes(10, 13, changes));
+    assert_eq!(follower.targets, relay.targets);
+    assert_eq!(follower.targets_revision, 13);
+    assert!(relay.target_changes(0).is_none());
+}
+
+/// Hints of unknown age must not count as the state of any revision, nor replace it.
+#[test]
+fn hinted_targets_give_way_to_a_complete_list() {
+    let mut catalog = Catalog::default();
+    assert!(catalog.hint_targets(vec![entry("i-1", 90, target("i-1", 1))]));
+    assert_eq!(catalog.revision(Topic::Targets), 0);
+    assert!(catalog.replace_targets(20, vec![entry("i-2", 20, target("i-2", 1))]));
+    assert!(catalog.target("i-1").is_none());
+    assert!(!catalog.hint_targets(vec![entry("i-1", 90, target("i-1", 1))]));
+}
+
+/// A new version of a configuration with many routes must reach followers as its difference,
+/// and give them the same configuration.
+#[test]
+fn config_changes_give_the_same_configuration() {
+    let route = |n: usize, priority| Route {
+        priority,
+        host: "a.example".into(),
+        prefix: format!("/{n:04}/"),
+        ..config().routes[0].clone()
+    };
+    let routes = |range: std::ops::Range<usize>| range.map(|n| route(n, 1)).collect::<Vec<_>>();
+    let old = Config {
+        version: 1,
+        routes: routes(0..1_400),
+        ..config()
+    };
+    let mut next = Config {
+        version: 2,
+        routes: routes(1..1_401),
+        ..config()
+    };
+    next.routes[700].priority = 0;
+    let change = ConfigChange::between(&old, &next).unwrap();
+    assert_eq!((change.changed.len(), change.removed.len()), (2, 1));
+    assert_eq!(change.apply(&old), next);
+}
+
 /// A late heartbeat from before a restart of a target must not restore its old state.
 #[test]
 fn update_of_an_earlier_lifetime_is_ignored() {
--- a/tests/load_model.rs
+++ b/tests/load_model.rs
@@ -141,6 +141,7 @@
             slots: SLOTS,
             phase: Phase::Ready,
             started: 1,
+            has_engine: true,
             weights: Some(1),
         },
     });
