Ask the origin by one schedule that starts with the release

A chunk whose host learned late or died waited until nothing had arrived anywhere for a second.

Ruled out: a wider window (all chunks share the link and arrive late).

Change: weights::schedule gives each chunk a time after the release, in one order for all regions, a little faster than the link. A chunk that is overdue is fetched by the next host, unless the one before it says that it is fetching it or the origin failed. The size of a chunk comes from the manifest.

Tests: an_expected_chunk_does_not_wait_for_outstanding_ones asks for the exact time now, with the backup's chunks set aside because they are overdue by then; an_overdue_chunk_is_fetched_by_the_next_agent is new.

--- a/src/host/chunks.rs
+++ b/src/host/chunks.rs
@@ -25,6 +25,8 @@
 struct Version {
     manifest: Arc<Manifest>,
     data: Vec<Option<Bytes>>,
+    /// Whether each chunk is being fetched from the origin.
+    fetching: Vec<bool>,
 }
 
 impl ChunkCache {
@@ -53,10 +55,12 @@
             })
         };
         let data = manifest.digests.iter().map(find).collect();
+        let fetching = vec![false; manifest.digests.len()];
         let manifest = Arc::new(manifest);
         versions.push(Version {
             manifest: manifest.clone(),
             data,
+            fetching,
         });
         versions.sort_by_key(|v| v.manifest.version);
         if versions.len() > MAX_VERSIONS {
@@ -114,7 +118,31 @@
             .collect()
     }
 
-    /// Completes when a manifest or chunk is added.
+    /// Whether each chunk of a version is being fetched from the origin; empty if its manifest
+    /// is unknown.
+    #[must_use]
+    pub fn fetching(&self, model: &str, version: u64) -> Vec<bool> {
+        let versions = self.versions.lock();
+        let found = versions.iter().find(|v| matches(v, model, version));
+        found.map(|v| v.fetching.clone()).unwrap_or_default()
+    }
+
+    /// Records whether a chunk is being fetched from the origin.
+    pub fn set_fetching(&self, manifest: &Manifest, index: usize, is_fetching: bool) {
+        let mut versions = self.versions.lock();
+        let found = versions
+            .iter_mut()
+            .find(|v| matches(v, &manifest.model, manifest.version));
+        if let Some(flag) = found.and_then(|v| v.fetching.get_mut(index)) {
+            *flag = is_fetching;
+        }
+        drop(versions);
+        if is_fetching {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Completes when a manifest or chunk is added, or the fetch of a chunk begins.
     pub fn changed(&self) -> Notified<'_> {
         self.changed.notified()
     }
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -15,12 +15,14 @@
 use crate::clock::Clock;
 use crate::fleet::Phase;
 use crate::host::Host;
+use crate::node::follow::LISTED_AGE;
 use crate::node::message::{self, Body, HeldChunks};
 use crate::platform::engine::Manifest;
 use crate::resource::rollout;
 use crate::weights::choice::{self, ChunkState, Snapshot, Source};
 use crate::weights::peers::Peers;
 use crate::weights::plan::{self, Member, Peer, Plan};
+use crate::weights::schedule::Schedule;
 use crate::weights::transfer::Failure;
 
 /// Maximum number of concurrent transfers.
@@ -44,8 +46,6 @@
 const ORIGIN_BACKOFF: Duration = Duration::from_millis(150);
 /// Maximum number of unprocessed messages of peers; further ones are dropped.
 const MAX_INBOX: usize = 1_024;
-/// Size of a chunk on current sites, bytes; used to estimate how long transfers take.
-const CHUNK_SIZE: u32 = 32_768;
 
 /// A peer that subscribed to the chunks of a version that this host holds.
 #[derive(Clone, Debug)]
@@ -67,6 +67,15 @@
     result: Result<(), Failure>,
 }
 
+impl<C: Clock> Drop for Download<C> {
+    fn drop(&mut self) {
+        for transfer in &self.transfers {
+            let chunks = &self.host.chunks;
+            chunks.set_fetching(&self.manifest, transfer.chunk, false);
+        }
+    }
+}
+
 /// A running transfer; dropping it aborts the transfer.
 struct Transfer {
     chunk: usize,
@@ -88,7 +97,8 @@
     /// Time of the last message of each peer, in the order of the plan's peers.
     last_heard: Vec<Instant>,
     transfers: Vec<Transfer>,
-    started: Instant,
+    /// Release of the version, or when it was first listed.
+    known_since: Instant,
     /// When this host or a peer last received a new chunk.
     last_progress: Instant,
     /// When a transfer from the origin last failed.
@@ -146,6 +156,7 @@
             is_complete,
             bitmap: message::bitmap(&held),
             wants_reply: false,
+            fetching: message::bitmap(&self.chunks.fetching(model, version)),
         }
     }
 
@@ -182,7 +193,7 @@
             peers: Peers::default(),
             last_heard: Vec::new(),
             transfers: Vec::new(),
-            started,
+            known_since: self.known_since(&model, version, started),
             last_progress: started,
             origin_failed: None,
             last_query: None,
@@ -196,6 +207,18 @@
         complete
     }
 
+    /// When hosts could begin to fetch a version: its release, or when it was first listed.
+    fn known_since(&self, model: &str, version: u64, now: Instant) -> Instant {
+        let catalog = self.catalog.snapshot();
+        let history = catalog.release_history(model).map(|r| r.history.as_slice());
+        let found = history.unwrap_or_default().iter().find(|r| r.0 == version);
+        found.map_or(now, |(_, released)| {
+            // A listed release is taken to be older than it may be.
+            let listed = *released + LISTED_AGE;
+            if listed <= now { listed } else { *released }
+        })
+    }
+
     /// Peers of this host and its assignments for the chunks of a version.
     fn transfer_plan(&self, manifest: &Manifest) -> Plan {
         let catalog = self.catalog.snapshot();
@@ -313,6 +336,8 @@
             let found = self.plan.peers.iter().position(|p| p.address == from);
             let Some(index) = found else { continue };
             self.last_heard[index] = now;
+            self.peers
+                .set_fetches(index, message::flags(&message.fetching, count));
             if self.peers.add_chunks(index, message.held_indexes(count)) {
                 self.last_progress = now;
             }
@@ -352,7 +377,7 @@
             .origin_failed
             .map_or(self.last_progress, |at| at.max(self.last_progress));
         let idle = now.saturating_duration_since(last_activity);
-        let expected_chunks = self.expected_chunks(now);
+        let schedule = self.schedule(now);
         while self.transfers.len() < MAX_TRANSFERS {
             let next = choice::next_transfer(&Snapshot {
                 plan: &self.plan,
@@ -360,10 +385,10 @@
                 chunks: &chunks,
                 idle,
                 stall_timeout: STALL_TIMEOUT,
-                chunk_size: CHUNK_SIZE,
+                chunk_size: self.manifest.chunk_size,
                 strategy: rollout::Strategy::Time,
                 origin_available: self.origin_retry.is_none_or(|after| after <= now),
-                expected_chunks,
+                schedule: Some(schedule),
                 own_name: &self.host.own_name(),
             });
             let Some(next) = next else { return };
@@ -372,19 +397,16 @@
         }
     }
 
-    /// Number of chunks of this region's part that the origin's link has had time to send.
-    fn expected_chunks(&self, now: Instant) -> usize {
+    /// Schedule of requests to the origin, which starts with the release.
+    fn schedule(&self, now: Instant) -> Schedule {
         let mbps = self.host.origin().map_or(0.0, |o| o.mbps);
-        let elapsed = now.saturating_duration_since(self.started);
-        let mut regions: Vec<&str> = self
-            .host
-            .center_regions
-            .iter()
-            .map(|r| r.1.as_str())
-            .collect();
-        regions.sort_unstable();
-        regions.dedup();
-        choice::expected_chunks(mbps, elapsed, CHUNK_SIZE, regions.len())
+        let elapsed = now.saturating_duration_since(self.known_since);
+        let schedule = Schedule::new(mbps, self.manifest.chunk_size, elapsed);
+        let failed = self.origin_failed;
+        Schedule {
+            since_failure: failed.map_or(elapsed, |at| now.saturating_duration_since(at)),
+            ..schedule
+        }
     }
 
     /// State of each chunk of the version.
@@ -420,6 +442,9 @@
             address = Some(peer.address);
         }
         let (host, manifest) = (self.host.clone(), self.manifest.clone());
+        if source == Source::Origin {
+            self.host.chunks.set_fetching(&manifest, chunk, true);
+        }
         let sender = self.sender.clone();
         let peer = name;
         let task = tokio::spawn(async move {
@@ -457,6 +482,8 @@
             log!(level, version, index, peer = finished.peer.as_str(), reason = reason.as_str(); "chunk not received");
         }
         if finished.source == Source::Origin {
+            let chunks = &self.host.chunks;
+            chunks.set_fetching(&self.manifest, finished.chunk, false);
             if finished.result.is_err() {
                 self.origin_failed = Some(now);
                 self.origin_retry = Some(now + ORIGIN_BACKOFF);
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -134,6 +134,9 @@
     /// new ones for a while.
     #[prost(bool, tag = "5")]
     pub wants_reply: bool,
+    /// Chunks that the sender is fetching from the origin, one bit per chunk.
+    #[prost(bytes = "vec", tag = "6")]
+    pub fetching: Vec<u8>,
 }
 
 impl HeldChunks {
@@ -146,6 +149,17 @@
     }
 }
 
+/// Unpacks one flag per chunk of a version that has `count` chunks.
+#[must_use]
+pub fn flags(bitmap: &[u8], count: usize) -> Vec<bool> {
+    let bit = |i: usize| {
+        bitmap
+            .get(i / 8)
+            .is_some_and(|byte| byte >> (i % 8) & 1 == 1)
+    };
+    (0..count).map(bit).collect()
+}
+
 /// Packs one flag per chunk into bytes, least significant bit first.
 #[must_use]
 pub fn bitmap(held: &[bool]) -> Vec<u8> {
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -87,6 +87,9 @@
     pub model: String,
     /// Version of the weights.
     pub version: u64,
+    /// Size of a chunk, bytes; 0 if unknown.
+    #[serde(default, rename = "chunk_bytes")]
+    pub chunk_size: u32,
     /// Digest of each chunk, in order.
     pub digests: Vec<Digest>,
 }
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -20,6 +20,7 @@
 pub mod pace;
 pub mod peers;
 pub mod plan;
+pub mod schedule;
 pub mod serve;
 pub mod staging;
 pub mod store;
--- a/src/weights/choice.rs
+++ b/src/weights/choice.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::plan::{Assignment, Plan};
+use super::schedule::Schedule;
 use crate::rendezvous;
 use crate::resource::rollout;
 
@@ -24,6 +25,8 @@
 pub struct PeerState {
     /// Whether the peer holds each wanted chunk, in their order.
     pub holds: Vec<bool>,
+    /// Whether the peer is fetching each wanted chunk from the origin; empty if unknown.
+    pub fetches: Vec<bool>,
     /// Whether it counts as dead or unreachable.
     pub down: bool,
     /// Whether no transfers are started from it, because of faults or a lost connection.
@@ -35,6 +38,11 @@
 }
 
 impl PeerState {
+    /// Whether the peer is fetching a chunk from the origin, as far as is known.
+    fn is_fetching(&self, chunk: usize) -> bool {
+        !self.down && self.fetches.get(chunk).copied().unwrap_or(false)
+    }
+
     fn is_available(&self) -> bool {
         !self.down && !self.quarantined && !self.busy && self.transfers < MAX_PER_PEER
     }
@@ -73,9 +81,9 @@
     pub strategy: rollout::Strategy,
     /// Whether the origin may be asked now.
     pub origin_available: bool,
-    /// Chunks assigned to the own data centre that the origin's link has had time to send.
-    /// The origin window does not delay requests for them.
-    pub expected_chunks: usize,
+    /// When the origin is asked for each chunk. The origin window does not delay requests
+    /// that are due. `None` if only the window decides.
+    pub schedule: Option<Schedule>,
     /// Name of the own VM, which makes each agent break ties differently.
     pub own_name: &'a str,
 }
@@ -104,17 +112,12 @@
 pub fn next_transfer(snapshot: &Snapshot) -> Option<Transfer> {
     let mut best: Option<(usize, u64, Transfer)> = None;
     let mut outstanding = 0;
-    let mut home_chunks = 0;
     for (chunk, state) in snapshot.chunks.iter().enumerate() {
         let holders = holder_count(snapshot, chunk);
-        let before = if home_chunks < snapshot.expected_chunks {
-            0
-        } else {
-            outstanding
-        };
+        let is_due = snapshot.schedule.is_some_and(|s| s.is_due(chunk));
+        let before = if is_due { 0 } else { outstanding };
         let absent = matches!(state, ChunkState::Missing | ChunkState::InFlight);
         if snapshot.plan.assignments[chunk].home {
-            home_chunks += 1;
             outstanding += usize::from(holders == 0 && absent);
         }
         if *state != ChunkState::Missing || best.is_some_and(|b| b.0 < holders) {
@@ -140,14 +143,14 @@
 
 /// Source to fetch a chunk from now. `outstanding` counts the chunks before this one that
 /// the own data centre fetches from the origin and that neither this agent nor a neighbour
-/// is known to hold; it is 0 for a chunk that the origin has had time to send.
+/// is known to hold; it is 0 for a chunk that is due.
 fn find_source(snapshot: &Snapshot, chunk: usize, outstanding: usize) -> Option<Source> {
     let near = find_holders(snapshot, chunk, &snapshot.plan.neighbours);
     if near.any {
         return near.available.map(Source::Peer);
     }
     let assignment = &snapshot.plan.assignments[chunk];
-    if !is_responsible(snapshot, assignment) {
+    if !is_responsible(snapshot, chunk, assignment) {
         return None;
     }
     let origin = snapshot.origin_available.then_some(Source::Origin);
@@ -192,14 +195,22 @@
 }
 
 /// Whether the own agent must fetch the chunk for its data centre: it ranks
-/// first, or all agents ranked before it are down, or no chunk has arrived for
-/// the takeover timeout times its rank.
-fn is_responsible(snapshot: &Snapshot, assignment: &Assignment) -> bool {
+/// first, or all agents ranked before it are down, or none of them has the chunk although it
+/// is overdue, or no chunk has arrived for the takeover timeout times its rank.
+fn is_responsible(snapshot: &Snapshot, chunk: usize, assignment: &Assignment) -> bool {
     let Some(rank) = assignment.rank else {
         return false;
     };
-    let down = |i: &usize| snapshot.peers[*i].down;
-    if assignment.predecessors.len() == rank && assignment.predecessors.iter().all(down) {
+    let knows_predecessors = assignment.predecessors.len() == rank;
+    let predecessors = assignment.predecessors.iter().map(|i| &snapshot.peers[*i]);
+    if knows_predecessors && predecessors.clone().all(|p| p.down) {
+        return true;
+    }
+    let is_fetched = predecessors.clone().any(|p| p.is_fetching(chunk));
+    let is_overdue = snapshot
+        .schedule
+        .is_some_and(|s| s.is_overdue(chunk, rank, snapshot.stall_timeout));
+    if assignment.home && knows_predecessors && is_overdue && !is_fetched {
         return true;
     }
     let rank = u32::try_from(rank).unwrap_or(u32::MAX);
@@ -217,37 +228,6 @@
     }
 }
 
-/// Number of chunks that the origin can have sent to one data centre after `elapsed`, if
-/// `data_centers` data centres share its link of `link_mbps` megabits per second equally.
-///
-/// An agent knows only what its neighbours hold. In a data centre of dozens of targets
-/// most chunks therefore have no known holder long after the origin sent them, and the
-/// origin window alone would leave the link idle. If the origin then fails, chunks are
-/// missing that it could have sent before.
-///
-/// ```
-/// use std::time::Duration;
-///
-/// use corianderramp::weights::choice;
-///
-/// // 32 KiB take 32.8 ms at 8 Mbit/s, and half of the chunks belong to the other data centre.
-/// assert_eq!(choice::expected_chunks(8.0, Duration::from_secs(1), 32_768, 2), 15);
-/// ```
-#[must_use]
-pub fn expected_chunks(
-    link_mbps: f64,
-    elapsed: Duration,
-    chunk_size: u32,
-    data_centers: usize,
-) -> usize {
-    let sent = elapsed.as_secs_f64() * link_mbps * 1e6 / 8.0;
-    let chunks = sent / f64::from(chunk_size.max(1));
-    // The value is far below `usize::MAX`; partly sent chunks don't count.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let whole = chunks.max(0.0) as usize;
-    whole / data_centers.max(1)
-}
-
 /// Outstanding chunks that the own data centre may fetch from the origin. The window
 /// widens while nothing arrives, so that a chunk assigned to a dead agent does not block
 /// the chunks after it.
--- a/src/weights/peers.rs
+++ b/src/weights/peers.rs
@@ -62,6 +62,7 @@
             let mut state = state.unwrap_or_default();
             if reset || state.holds.len() != chunks {
                 state.holds = vec![false; chunks];
+                state.fetches.clear();
             }
             next.records.push(record.unwrap_or_else(|| Record {
                 name: peer.name.clone(),
@@ -92,10 +93,16 @@
         any
     }
 
+    /// Records which chunks a peer is fetching from the origin.
+    pub fn set_fetches(&mut self, index: usize, fetches: Vec<bool>) {
+        self.states[index].fetches = fetches;
+    }
+
     /// Records that a peer can't be reached and forgets its held chunks.
     pub fn mark_lost(&mut self, index: usize, now: Instant) {
         self.records[index].lost_since.get_or_insert(now);
         self.states[index].holds.fill(false);
+        self.states[index].fetches.clear();
     }
 
     /// Records the start of a transfer from a peer.
--- a/src/weights/swarm.rs
+++ b/src/weights/swarm.rs
@@ -324,7 +324,7 @@
             chunk_size: first.map_or(0, |m| m.spec.chunk_size),
             strategy,
             origin_available: origin_ready && self.fetcher.origin.is_some(),
-            expected_chunks: 0,
+            schedule: None,
             own_name: &self.ctx.settings.vm,
         })
     }
--- a/tests/weights.rs
+++ b/tests/weights.rs
@@ -16,6 +16,7 @@
 use corianderramp::weights::choice::{self, ChunkState, PeerState, Snapshot, Source, Transfer};
 use corianderramp::weights::pace::{Controller, Direction, Pacer};
 use corianderramp::weights::plan::{self, Plan};
+use corianderramp::weights::schedule::Schedule;
 use corianderramp::weights::store::Store;
 
 const STALL: Duration = Duration::from_secs(2);
@@ -99,7 +100,7 @@
     chunks: Vec<ChunkState>,
     idle: Duration,
     strategy: rollout::Strategy,
-    expected_chunks: usize,
+    schedule: Option<Schedule>,
 }
 
 impl Case {
@@ -115,7 +116,7 @@
             plan,
             idle: Duration::ZERO,
             strategy: rollout::Strategy::Time,
-            expected_chunks: 0,
+            schedule: None,
         }
     }
 
@@ -129,7 +130,7 @@
             chunk_size: 1024,
             strategy: self.strategy,
             origin_available: true,
-            expected_chunks: self.expected_chunks,
+            schedule: self.schedule,
             own_name: own,
         })
     }
@@ -173,13 +174,23 @@
     let own = |c: &&usize| case.plan.assignments[**c].rank == Some(0);
     let last = *home_chunks.iter().rfind(own).unwrap();
     for (chunk, state) in case.chunks.iter_mut().enumerate() {
-        let mine = case.plan.assignments[chunk].rank == Some(0);
+        // Chunks of which this agent is a backup are overdue before its last one is due.
+        let mine = case.plan.assignments[chunk].rank.is_some_and(|r| r <= 2);
         if mine && chunk != last {
             *state = ChunkState::Staged;
         }
     }
     assert_eq!(case.next("a-0"), None);
-    case.expected_chunks = home_chunks.len();
+    let schedule = |elapsed| Schedule {
+        elapsed,
+        chunk_time: Duration::from_millis(25),
+        since_failure: elapsed,
+    };
+    // A quarter more is asked for than the link can send: one chunk each 20 ms.
+    let due = Duration::from_millis(20) * u32::try_from(last).unwrap();
+    case.schedule = Some(schedule(due.saturating_sub(Duration::from_millis(1))));
+    assert_eq!(case.next("a-0"), None);
+    case.schedule = Some(schedule(due));
     let expected = Transfer {
         chunk: last,
         source: Source::Origin,
@@ -187,6 +198,46 @@
     assert_eq!(case.next("a-0"), Some(expected));
 }
 
+/// Guards against a chunk that is missing when the origin fails, because the agent that was
+/// to fetch it learned late of the version, and against fetching it twice.
+#[test]
+fn an_overdue_chunk_is_fetched_by_the_next_agent() {
+    let mut case = Case::new("a-0", 60);
+    case.only(|d| d.home && d.rank == Some(1));
+    let chunk = (0..60)
+        .find(|c| case.chunks[*c] == ChunkState::Missing)
+        .unwrap();
+    let schedule = |elapsed, since_failure| {
+        Some(Schedule {
+            elapsed,
+            chunk_time: Duration::from_millis(25),
+            since_failure,
+        })
+    };
+    let due = Duration::from_millis(20) * u32::try_from(chunk).unwrap();
+    case.schedule = schedule(due, due);
+    assert_eq!(case.next("a-0"), None);
+    let late = Duration::from_secs(60);
+    case.schedule = schedule(late, Duration::from_millis(50));
+    assert_eq!(case.next("a-0"), None, "the origin, not the agent, is late");
+    case.schedule = schedule(late, late);
+    let ahead = case.plan.assignments[chunk].predecessors[0];
+    case.peers[ahead].fetches = vec![true; 60];
+    let only = |t: &Transfer| t.chunk != chunk;
+    assert!(case.next("a-0").as_ref().is_none_or(only));
+    case.peers[ahead].fetches = vec![false; 60];
+    for (index, state) in case.chunks.iter_mut().enumerate() {
+        if index != chunk {
+            *state = ChunkState::Staged;
+        }
+    }
+    let expected = Transfer {
+        chunk,
+        source: Source::Origin,
+    };
+    assert_eq!(case.next("a-0"), Some(expected));
+}
+
 /// Guards against a reachable agent without progress that blocks a rollout, and against
 /// taking over too early when the rollout saves origin bytes.
 #[test]
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -86,6 +86,7 @@
         is_complete: false,
         bitmap: message::bitmap(&held),
         wants_reply: true,
+        fetching: Vec::new(),
     };
     let bytes = message::encode(Body::HeldChunks(have));
     let Some(Body::HeldChunks(have)) = message::decode(&bytes) else {
