Give up a request that would begin on old weights after the limit

The margin of 0.7 s held for no particular wait.

Ruled out: a margin as long as the longest wait seen; it closes sound targets for all requests to protect few.

Change: the gateway knows when a request must have begun at a target with old weights, and gives it up then; another target may serve it where the route allows that.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -181,12 +181,19 @@
                 .call
                 .deadline
                 .saturating_duration_since(self.gateway.clock.now());
-            let timeout = STREAM_IDLE_TIMEOUT.min(left);
+            let now = self.gateway.clock.now();
+            let begin = response
+                .start_limit
+                .map(|at| at.saturating_duration_since(now));
+            let timeout = STREAM_IDLE_TIMEOUT.min(left).min(begin.unwrap_or(left));
             let frame = match time::timeout(timeout, response.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) if self.splitter.is_complete() => return ReadResult::End,
                 Ok(None) => return ReadResult::Interrupted("ended within an event"),
                 Ok(Some(Err(_))) => return ReadResult::Interrupted("stream broke"),
+                Err(_) if begin.is_some_and(|begin| begin <= timeout) => {
+                    return ReadResult::Interrupted("weights overdue");
+                }
                 Err(_) => return ReadResult::Interrupted("stream silent"),
             };
             let Ok(data) = frame.into_data() else {
@@ -194,7 +201,10 @@
             };
             match self.splitter.push(&data) {
                 Some(events) if events.is_empty() => {}
-                Some(events) => return ReadResult::Events(events),
+                Some(events) => {
+                    response.start_limit = None;
+                    return ReadResult::Events(events);
+                }
                 None => return ReadResult::Interrupted("event too long"),
             }
         }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 use tokio::time;
 
 use crate::clock::Clock;
+use crate::fleet::catalog::{Catalog, ReleaseHistory};
 use crate::fleet::{Config, Route, RouteKind};
 use crate::gateway::Gateway;
 use crate::gateway::agents::SlotCriteria;
@@ -31,9 +32,9 @@
 /// Multiple of the latency objective after which a retryable request without response
 /// headers is sent to another target.
 const RETRY_OBJECTIVES: u32 = 3;
-/// Margin before the limit by which new weights must be used, so that a request that waits
-/// at the target still begins in time.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(700);
+/// Time before the limit of old weights at which a request that waits on them is given up, so
+/// that the target learns of it in time.
+const CANCEL_MARGIN: Duration = Duration::from_millis(50);
 /// Urgency that targets assume for a request without this header.
 const DEFAULT_URGENCY: u8 = 5;
 
@@ -116,6 +117,8 @@
     pub _connection: net::Connection,
     /// Slot at the target.
     pub slot: SlotGuard<C>,
+    /// When the first event must have arrived, because the target's weights are old.
+    pub start_limit: Option<Instant>,
 }
 
 /// Target that was selected for a request.
@@ -142,16 +145,29 @@
         if !call.has_engine() {
             return None;
         }
-        let limit = self.bounds.weights_limit().saturating_sub(WEIGHTS_MARGIN);
+        // A request that a target accepts begins within its objective, as a rule.
+        let limit = self.bounds.weights_limit();
+        let limit = limit.saturating_sub(call.route().objective);
         let catalog = self.catalog.snapshot();
-        let history = call
-            .caller_headers
-            .model
-            .as_deref()
-            .and_then(|m| catalog.release_history(m));
+        let history = release_history(&catalog, call);
         Some(history.map_or(1, |h| h.required_version(limit, now)).max(1))
     }
 
+    /// When a request must have begun at a target; `None` if its weights are the newest.
+    ///
+    /// Load pattern: a target that holds old weights turns slow, or is crowded because others
+    /// are loading, and requests that were sent in time wait there beyond the limit.
+    fn start_limit(&self, key: TargetKey, call: &Call, now: Instant) -> Option<Instant> {
+        if !call.has_engine() {
+            return None;
+        }
+        let held = self.pool.lock().get(key)?.weights(now)?;
+        let catalog = self.catalog.snapshot();
+        let history = release_history(&catalog, call)?;
+        let limit = self.bounds.weights_limit().saturating_sub(CANCEL_MARGIN);
+        history.start_limit(held, limit)
+    }
+
     fn select_target(&self, needs: &Requirements<'_>, now: Instant) -> Option<Selection> {
         let pool = self.pool.lock();
         let key = pool.choose(needs, now, || rand::rng().random())?;
@@ -275,7 +291,9 @@
         *message.uri_mut() = call.uri.clone();
         *message.headers_mut() = request::forward(&call.headers, &target_headers);
         trace.sends += 1;
-        let limit = Self::response_timeout(call, trace, left);
+        let start_limit = self.start_limit(slot.key, call, now);
+        let begin = start_limit.map(|at| at.saturating_duration_since(self.clock.now()));
+        let limit = Self::response_timeout(call, trace, left).min(begin.unwrap_or(left));
         let response = time::timeout(limit, connection.send(message)).await;
         let (head, body) = match response {
             Ok(Ok(response)) => response.into_parts(),
@@ -302,6 +320,7 @@
             body,
             _connection: connection,
             slot,
+            start_limit,
         })
     }
 
@@ -374,6 +393,12 @@
     }
 }
 
+/// Releases of the model that the request is for.
+fn release_history<'a>(catalog: &'a Catalog, call: &Call) -> Option<&'a ReleaseHistory> {
+    let model = call.caller_headers.model.as_deref()?;
+    catalog.release_history(model)
+}
+
 /// Urgency in the target's queue for a priority. Priorities are small numbers; larger ones
 /// get the default urgency.
 fn urgency(priority: u8) -> u8 {
--- a/standins/tests/users_platform.rs
+++ b/standins/tests/users_platform.rs
@@ -584,3 +584,21 @@
     wait_until("the target serves version 2", || target.version() == 2).await;
     assert!(released.elapsed() < Duration::from_secs(8));
 }
+
+/// A request that is sent to a target with old weights in time, but waits there, must not
+/// begin after the limit of the release.
+#[tokio::test]
+async fn request_that_waits_at_a_target_does_not_begin_on_old_weights() {
+    let fleet = Fleet::start(18).await;
+    let behavior = Behavior::LateStream(Duration::from_millis(900));
+    let _target = fleet.target(10, "llm", 1, behavior).await;
+    let gateway = fleet.gateway_within(20, 2_000);
+    call_until_ok(gateway, Method::POST, "/plan/x").await;
+    fleet
+        .store
+        .put("versions", "m0", json!({"model": "m0", "version": 2}));
+    time::sleep(Duration::from_millis(1_200)).await;
+    // The target would begin at 2,100 ms.
+    let response = call(gateway, request(Method::POST, "/plan/x", "late")).await;
+    assert_ne!(response.unwrap().status(), StatusCode::OK);
+}
