Stop a fetch whose version has left the chunk cache

Cause: found by reading. The cache keeps three versions; when three newer ones become known while a version is fetched, its entry goes, the list of held chunks is empty, and the fetch indexes it by the chunk of a running transfer: the task ends with a panic and this host fetches nothing more.

Change: the states come from the manifest's length, and the fetch ends when the cache has dropped its version. The announcing of chunks moves to a file of its own.

Test: version_dropped_during_its_fetch_has_all_chunks_missing. It was not run on the old code, whose states it could not call; it checks the new function.

--- a/src/host.rs
+++ b/src/host.rs
@@ -29,6 +29,7 @@
 use crate::shared_state::Phase;
 use crate::telemetry;
 
+mod announce;
 mod chunks;
 mod exchange;
 mod fetch;
@@ -73,9 +74,9 @@
     /// Gateways that subscribed to the target's state.
     gateways: Mutex<Vec<places::Subscriber>>,
     /// Peers that subscribed to the chunks that this host holds.
-    peers: Mutex<Vec<exchange::Subscriber>>,
+    peers: Mutex<Vec<announce::Subscriber>>,
     /// Messages of peers that the running download has not processed yet.
-    inbox: Mutex<exchange::Inbox>,
+    inbox: Mutex<announce::Inbox>,
     /// Notified when a message arrives in `inbox`.
     received: Notify,
     chunks: chunks::ChunkCache,
--- a/src/host/chunks.rs
+++ b/src/host/chunks.rs
@@ -38,6 +38,12 @@
         found.map(|v| v.manifest.clone())
     }
 
+    /// Whether the version of `manifest` is kept.
+    #[must_use]
+    pub fn contains(&self, manifest: &Manifest) -> bool {
+        self.manifest(&manifest.model, manifest.version).is_some()
+    }
+
     /// Adds a manifest and returns the shared copy. Chunks that other versions hold with the
     /// same digest are reused. Drops the oldest version if there are too many.
     pub fn insert_manifest(&self, manifest: Manifest) -> Arc<Manifest> {
@@ -151,3 +157,7 @@
 fn matches(version: &Version, model: &str, number: u64) -> bool {
     version.manifest.model == model && version.manifest.version == number
 }
+
+#[cfg(test)]
+#[path = "chunks_test.rs"]
+mod test;
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -1,4 +1,4 @@
-//! Downloads chunks from peers and the origin, and announces held chunks to peers.
+//! Downloads chunks from peers and the origin.
 //!
 //! [`crate::weights`] chooses the transfers. This module supplies it with the state of the
 //! peers, which they send by datagram, and runs the transfers.
@@ -16,7 +16,7 @@
 use crate::fleet::Phase;
 use crate::host::Host;
 use crate::node::follow::LISTED_AGE;
-use crate::node::message::{self, Body, HeldChunks};
+use crate::node::message::{self, Body};
 use crate::platform::engine::Manifest;
 use crate::resource::rollout;
 use crate::weights::choice::{self, ChunkState, Snapshot, Source};
@@ -35,30 +35,11 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time without progress after which the next host takes over a chunk.
 const STALL_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time for which new chunks are announced to a peer after its last query.
-const SUBSCRIPTION_TTL: Duration = Duration::from_secs(1);
-/// Delay before new chunks are announced, so that one datagram covers several of them.
-const ANNOUNCE_DELAY: Duration = Duration::from_millis(40);
 /// Time without any new chunk after which a download ends, so that another version can be
 /// fetched.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(3);
 /// Backoff after a failed transfer from the origin.
 const ORIGIN_BACKOFF: Duration = Duration::from_millis(150);
-/// Maximum number of unprocessed messages of peers; further ones are dropped.
-const MAX_INBOX: usize = 1_024;
-
-/// A peer that subscribed to the chunks of a version that this host holds.
-#[derive(Clone, Debug)]
-pub struct Subscriber {
-    address: SocketAddr,
-    model: String,
-    version: u64,
-    renewed: Instant,
-}
-
-/// Messages of peers with their senders, in order of arrival.
-pub type Inbox = Vec<(SocketAddr, HeldChunks)>;
-
 /// Result of a transfer.
 struct Finished {
     chunk: usize,
@@ -112,70 +93,6 @@
 }
 
 impl<C: Clock> Host<C> {
-    /// Queues a peer's message for the running download and replies if the peer asks for it.
-    pub(super) fn receive_held(&self, from: SocketAddr, message: HeldChunks, now: Instant) {
-        if message.wants_reply {
-            self.subscribe_peer(from, &message, now);
-            let held = self.held_chunks(&message.model, message.version);
-            self.send(from, Body::HeldChunks(held));
-        }
-        let mut inbox = self.inbox.lock();
-        // Nothing empties the inbox without a download, and a new download queries again.
-        if inbox.len() < MAX_INBOX {
-            inbox.push((from, message));
-        }
-        drop(inbox);
-        self.received.notify_one();
-    }
-
-    fn subscribe_peer(&self, address: SocketAddr, query: &HeldChunks, now: Instant) {
-        let mut subscribers = self.peers.lock();
-        subscribers.retain(|s| now.saturating_duration_since(s.renewed) < SUBSCRIPTION_TTL);
-        let same = |s: &&mut Subscriber| {
-            (s.address, s.version) == (address, query.version) && s.model == query.model
-        };
-        if let Some(known) = subscribers.iter_mut().find(same) {
-            known.renewed = now;
-            return;
-        }
-        subscribers.push(Subscriber {
-            address,
-            model: query.model.clone(),
-            version: query.version,
-            renewed: now,
-        });
-    }
-
-    /// Message with the chunks of a version that this host holds.
-    fn held_chunks(&self, model: &str, version: u64) -> HeldChunks {
-        let is_complete = self.report.borrow().weights == Some(version);
-        let held = self.chunks.held(model, version);
-        HeldChunks {
-            model: model.to_owned(),
-            version,
-            is_complete,
-            bitmap: message::bitmap(&held),
-            wants_reply: false,
-            fetching: message::bitmap(&self.chunks.fetching(model, version)),
-        }
-    }
-
-    /// Announces new chunks to subscribed peers until the process ends.
-    pub(super) async fn announce_chunks(self: Arc<Self>) {
-        loop {
-            self.chunks.changed().await;
-            time::sleep(ANNOUNCE_DELAY).await;
-            let subscribers = self.peers.lock().clone();
-            let now = self.clock.now();
-            for subscriber in subscribers {
-                if now.saturating_duration_since(subscriber.renewed) < SUBSCRIPTION_TTL {
-                    let held = self.held_chunks(&subscriber.model, subscriber.version);
-                    self.send(subscriber.address, Body::HeldChunks(held));
-                }
-            }
-        }
-    }
-
     /// Fetches the missing chunks of a version. Returns whether all of them are in memory;
     /// ends early without progress or when another version is to be fetched instead.
     pub(super) async fn fetch_chunks(self: &Arc<Self>, manifest: Arc<Manifest>) -> bool {
@@ -283,6 +200,10 @@
             if self.host.chunks.missing(&self.manifest).is_empty() {
                 return true;
             }
+            if !self.host.chunks.contains(&self.manifest) {
+                // Dropped in favour of newer versions; chunks could not be kept.
+                return false;
+            }
             let now = host.clock.now();
             if now.saturating_duration_since(self.last_progress) >= PROGRESS_TIMEOUT {
                 return false;
@@ -411,24 +332,9 @@
 
     /// State of each chunk of the version.
     fn chunk_states(&self) -> Vec<ChunkState> {
-        let held = self
-            .host
-            .chunks
-            .held(&self.manifest.model, self.manifest.version);
-        let mut states: Vec<ChunkState> = held
-            .iter()
-            .map(|held| {
-                if *held {
-                    ChunkState::Staged
-                } else {
-                    ChunkState::Missing
-                }
-            })
-            .collect();
-        for transfer in &self.transfers {
-            states[transfer.chunk] = ChunkState::InFlight;
-        }
-        states
+        let missing = self.host.chunks.missing(&self.manifest);
+        let in_flight = self.transfers.iter().map(|t| t.chunk);
+        choice::states(self.manifest.digests.len(), &missing, in_flight)
     }
 
     /// Spawns a transfer of one chunk.
--- a/src/weights/choice.rs
+++ b/src/weights/choice.rs
@@ -62,6 +62,30 @@
     Staged,
 }
 
+/// States of `count` chunks of which those at the indices `missing` are not held and those in
+/// `in_flight` are being fetched.
+///
+/// ```
+/// use corianderramp::weights::choice::{self, ChunkState};
+///
+/// let states = choice::states(3, &[0, 2], [2].into_iter());
+/// assert_eq!(states, [ChunkState::Missing, ChunkState::Staged, ChunkState::InFlight]);
+/// ```
+pub fn states(
+    count: usize,
+    missing: &[usize],
+    in_flight: impl Iterator<Item = usize>,
+) -> Vec<ChunkState> {
+    let mut states = vec![ChunkState::Staged; count];
+    for chunk in missing {
+        states[*chunk] = ChunkState::Missing;
+    }
+    for chunk in in_flight {
+        states[chunk] = ChunkState::InFlight;
+    }
+    states
+}
+
 /// What [`next_transfer`] bases its decision on.
 #[derive(Clone, Copy, Debug)]
 pub struct Snapshot<'a> {
