--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -155,8 +155,8 @@
                 if relays > 0 {
                     break;
                 }
-                let snapshot = catalog.snapshot();
-                if count > 0 && !snapshot.targets.iter().any(|t| t.value.has_engine) {
+                // A region without any engine has no relays.
+                if count > 0 {
                     end = end.min(clock.now() + region.limit / 8);
                 }
             }
