Announce a fetch also between two attempts at a failing origin

It was down for 6.5 s, each host waited 150 ms between attempts, and the next host of a chunk took the first one for idle in such a pause, or began to ask without having seen a failure itself.

Change: a chunk counts as being fetched until it has arrived or the fetch ends.

Test: host_announces_its_fetches_while_the_origin_fails, which failed before.

--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -50,10 +50,7 @@
 
 impl<C: Clock> Drop for Download<C> {
     fn drop(&mut self) {
-        for transfer in &self.transfers {
-            let chunks = &self.host.chunks;
-            chunks.set_fetching(&self.manifest, transfer.chunk, false);
-        }
+        self.host.chunks.clear_fetching(&self.manifest);
     }
 }
 
@@ -388,9 +385,11 @@
             log!(level, version, index, peer = finished.peer.as_str(), reason = reason.as_str(); "chunk not received");
         }
         if finished.source == Source::Origin {
-            let chunks = &self.host.chunks;
-            chunks.set_fetching(&self.manifest, finished.chunk, false);
-            if finished.result.is_err() {
+            if finished.result.is_ok() {
+                let chunks = &self.host.chunks;
+                chunks.set_fetching(&self.manifest, finished.chunk, false);
+            } else {
+                // Still announced as being fetched: this host tries again.
                 self.origin_failed = Some(now);
                 self.origin_retry = Some(now + ORIGIN_BACKOFF);
             }
