Take versions learned together for such when one comes from a list

Besides, a target waited for an incomplete version although a newer one was complete.

Ruled out: the relays themselves (all nodes followed the store, as before, since no relay was in contact with it), the schedule of the origin (its link was full).

Change: a release remembers whether it was listed, and versions count as learned together by when they became known. A complete version replaces an incomplete older one.

Tests: listed_version_is_known_since_its_list, complete_version_replaces_an_incomplete_one; both call functions that did not exist before.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -90,10 +90,15 @@
     pub release: Release,
     /// Recent versions and their release times as far as this node knows them, oldest first.
     pub history: Vec<(u64, Instant)>,
+    /// Versions of which a list told, so that their release times are assumed.
+    pub listed: Vec<u64>,
 }
 
 /// Maximum length of a release history; the deadline of an older version has long passed.
 const MAX_HISTORY: usize = 8;
+/// Age assumed for releases found in a list: no node saw when they were published, so their
+/// deadline may be close.
+pub const LISTED_AGE: Duration = Duration::from_secs(5);
 /// Maximum number of removals kept.
 const MAX_REMOVALS: usize = 1_024;
 
@@ -107,6 +112,21 @@
         due.map(|(version, _)| *version).max().unwrap_or(0)
     }
 
+    /// Returns when the first node learned of a version: its release, or when it was listed.
+    #[must_use]
+    pub fn known_since(&self, version: u64) -> Option<Instant> {
+        let (_, released) = self.history.iter().find(|(v, _)| *v == version)?;
+        let is_listed = self.listed.contains(&version);
+        Some(
+            *released
+                + if is_listed {
+                    LISTED_AGE
+                } else {
+                    Duration::ZERO
+                },
+        )
+    }
+
     /// Returns when requests may no longer start on `version`, `limit` after the release of
     /// the next one; `None` while it is the newest.
     #[must_use]
@@ -296,6 +316,7 @@
                 let value = ReleaseHistory {
                     release: release.clone(),
                     history: Vec::new(),
+                    listed: Vec::new(),
                 };
                 let name = name.to_owned();
                 let entry = Entry {
@@ -312,13 +333,24 @@
         self.releases_revision = self.releases_revision.max(revision);
         let model = &mut entry.value;
         if model.history.len() == MAX_HISTORY {
-            model.history.remove(0);
+            let (oldest, _) = model.history.remove(0);
+            model.listed.retain(|v| *v != oldest);
         }
         model.history.push((release.version, released));
         model.release = release;
         true
     }
 
+    /// Records that the release time of a version is assumed, because a list told of it.
+    pub fn mark_listed(&mut self, name: &str, version: u64) {
+        let found = self
+            .releases
+            .binary_search_by(|r| r.name.as_str().cmp(name));
+        if let Ok(i) = found {
+            self.releases[i].value.listed.push(version);
+        }
+    }
+
     /// Raises the revision up to which the releases are complete; returns whether it was
     /// lower before.
     pub fn advance_releases(&mut self, revision: u64) -> bool {
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -15,7 +15,6 @@
 use crate::clock::Clock;
 use crate::fleet::Phase;
 use crate::host::Host;
-use crate::node::follow::LISTED_AGE;
 use crate::node::message::{self, Body};
 use crate::platform::engine::Manifest;
 use crate::resource::rollout;
@@ -122,15 +121,10 @@
     }
 
     /// When hosts could begin to fetch a version: its release, or when it was first listed.
-    fn known_since(&self, model: &str, version: u64, now: Instant) -> Instant {
+    pub(super) fn known_since(&self, model: &str, version: u64, now: Instant) -> Instant {
         let catalog = self.catalog.snapshot();
-        let history = catalog.release_history(model).map(|r| r.history.as_slice());
-        let found = history.unwrap_or_default().iter().find(|r| r.0 == version);
-        found.map_or(now, |(_, released)| {
-            // A listed release is taken to be older than it may be.
-            let listed = *released + LISTED_AGE;
-            if listed <= now { listed } else { *released }
-        })
+        let history = catalog.release_history(model);
+        history.and_then(|h| h.known_since(version)).unwrap_or(now)
     }
 
     /// Peers of this host and its assignments for the chunks of a version.
--- a/src/host/plan.rs
+++ b/src/host/plan.rs
@@ -74,6 +74,17 @@
     fetches_newer_first(older, newer) && now.saturating_duration_since(newer) < SIMULTANEOUS_WINDOW
 }
 
+/// Whether a complete version released at `newer` is loaded instead of one released at
+/// `released`, of which all chunks are held if `is_held`.
+///
+/// Load pattern: two versions are learned together and the newer one is fetched first. It is
+/// complete when the older one is due, and the target must not stay closed until that has
+/// been fetched too.
+#[must_use]
+pub fn may_replace(is_held: bool, released: Instant, newer: Instant, limit: Duration) -> bool {
+    !is_held || may_skip(released, newer, limit)
+}
+
 /// Whether a version released at `released` may be skipped in favour of one released at
 /// `newer`, because the newer one can be fetched before the older one must be loaded. No
 /// request may start on still older weights `limit` after the release.
--- a/src/host/plan_test.rs
+++ b/src/host/plan_test.rs
@@ -2,7 +2,7 @@
 
 use super::{
     DEADLINE_MARGIN, FETCH_TIME, WAVE_COUNT, WAVE_INTERVAL, can_complete, fetches_newer_first,
-    may_skip, preempts_fetch, switch_deadline, switch_time,
+    may_replace, may_skip, preempts_fetch, switch_deadline, switch_time,
 };
 
 const LIMIT: Duration = Duration::from_secs(8);
@@ -88,3 +88,14 @@
         LIMIT
     ));
 }
+
+/// Guards against a target that stays closed although a newer version is complete, because
+/// the one that is due was not fetched.
+#[test]
+fn complete_version_replaces_an_incomplete_one() {
+    let released = Instant::now();
+    let newer = released + LIMIT;
+    assert!(may_replace(false, released, newer, LIMIT));
+    assert!(!may_replace(true, released, newer, LIMIT));
+    assert!(may_replace(true, released, released, LIMIT));
+}
--- a/src/host/switch.rs
+++ b/src/host/switch.rs
@@ -64,7 +64,8 @@
         // A newer version replaces the next one only once it is complete: its fetch may fail,
         // and the next one must be loaded before it is due.
         for (newer, at) in pending {
-            let may_skip = current == 0 || plan::may_skip(released, at, limit);
+            let is_held = self.is_complete(&model, version);
+            let may_skip = current == 0 || plan::may_replace(is_held, released, at, limit);
             if may_skip && self.is_complete(&model, newer) {
                 (version, released) = (newer, at);
             }
@@ -114,11 +115,19 @@
         let catalog = self.catalog.snapshot();
         let history = catalog.release_history(model).map(|r| r.history.as_slice());
         let history = history.unwrap_or_default();
-        let older = history.iter().find(|(v, _)| *v == version);
-        let newer = history.last().filter(|(v, _)| *v > version);
+        let Some((newer, _)) = history.last().filter(|(v, _)| *v > version) else {
+            return false;
+        };
+        let now = self.clock.now();
+        let known_since = |version| self.known_since(model, version, now);
+        plan::preempts_fetch(known_since(version), known_since(*newer), now)
+    }
+
+    /// Whether this host fetches the newer one of two versions first.
+    fn were_learned_together(&self, older: &PendingVersion, newer: &PendingVersion) -> bool {
         let now = self.clock.now();
-        let times = older.zip(newer);
-        times.is_some_and(|(older, newer)| plan::preempts_fetch(older.1, newer.1, now))
+        let known_since = |v: &PendingVersion| self.known_since(&v.model, v.version, now);
+        plan::fetches_newer_first(known_since(older), known_since(newer))
     }
 
     /// Newest released version; `None` if the target is up to date.
@@ -150,8 +159,8 @@
             }
             let mut order = [self.next_version(), self.newest_version()];
             if let [Some(next), Some(newest)] = &order
-                && let (Some(older), Some(newer)) = (next.released, newest.released)
-                && plan::fetches_newer_first(older, newer)
+                && next.released.is_some()
+                && self.were_learned_together(next, newest)
             {
                 order.reverse();
             }
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -13,7 +13,7 @@
 use tokio::time;
 
 use crate::clock::Clock;
-use crate::fleet::catalog::{Catalog, Entry, Topic};
+use crate::fleet::catalog::{Catalog, Entry, LISTED_AGE, Topic};
 use crate::node::settings::Settings;
 use crate::node::{SharedCatalog, relay};
 use crate::platform::decode;
@@ -37,10 +37,6 @@
 /// Longest backoff after failed calls.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
-/// Age assumed for releases found in a list: this node did not see when they were
-/// published, so their deadline may be close.
-pub const LISTED_AGE: Duration = Duration::from_secs(5);
-
 /// Time of the last contact with the store, shared by all topics.
 #[derive(Clone, Debug, Default)]
 pub struct StoreContact {
@@ -410,9 +406,13 @@
                     let version = release.version;
                     let now = self.clock.now();
                     let seen = now.checked_sub(age).unwrap_or(now);
-                    let applied = self
-                        .catalog
-                        .update(|c| c.add_release(&name, revision, release, seen));
+                    let applied = self.catalog.update(|c| {
+                        let applied = c.add_release(&name, revision, release, seen);
+                        if applied && !age.is_zero() {
+                            c.mark_listed(&name, version);
+                        }
+                        applied
+                    });
                     info!(topic = "releases", model = name.as_str(), version, revision, applied; "release received");
                 }
                 Err(e) => self.reject(&name, revision, &e),
--- a/src/node/relay/codec.rs
+++ b/src/node/relay/codec.rs
@@ -121,6 +121,9 @@
     name: String,
     model: String,
     history: Vec<(u64, u64)>,
+    /// Versions of which a list told.
+    #[serde(default)]
+    listed: Vec<u64>,
 }
 
 /// Recent configurations, and topics as encoded for followers, so that each is compressed
@@ -223,6 +226,7 @@
             .iter()
             .map(|(v, at)| (*v, age(*at)))
             .collect(),
+        listed: entry.value.listed.clone(),
     });
     versions.collect()
 }
@@ -328,8 +332,13 @@
             model: versions.model.clone(),
             version: *version,
         };
-        let applied =
-            catalog.update(|c| c.add_release(&versions.name, revision, release, released));
+        let applied = catalog.update(|c| {
+            let applied = c.add_release(&versions.name, revision, release, released);
+            if applied && versions.listed.contains(version) {
+                c.mark_listed(&versions.name, *version);
+            }
+            applied
+        });
         if applied {
             info!(topic = "releases", model = versions.model.as_str(), version, revision, from = "scout"; "release received");
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use corianderramp::fleet::catalog::{Catalog, Entry, Topic};
+use corianderramp::fleet::catalog::{Catalog, Entry, LISTED_AGE, Topic};
 use corianderramp::fleet::diff::ConfigChange;
 use corianderramp::fleet::{Config, Phase, Release, Route, RouteKind, Target, routes};
 use corianderramp::platform::decode;
@@ -122,6 +122,27 @@
     assert_eq!(change.apply(&old), next);
 }
 
+/// Versions that a node learned of together after an outage of the store, one from a list and
+/// one from a watch, must count as known since the same time, whatever age is assumed.
+#[test]
+fn listed_version_is_known_since_its_list() {
+    let listed_at = Instant::now() + LISTED_AGE;
+    let mut catalog = Catalog::default();
+    let release = |version| Release {
+        model: "m".into(),
+        version,
+    };
+    let released = listed_at.checked_sub(LISTED_AGE).unwrap();
+    catalog.add_release("m", 1, release(2), released);
+    catalog.mark_listed("m", 2);
+    let watched_at = listed_at + Duration::from_millis(100);
+    catalog.add_release("m", 2, release(3), watched_at);
+    let history = catalog.release_history("m").unwrap();
+    assert_eq!(history.known_since(2), Some(listed_at));
+    assert_eq!(history.known_since(3), Some(watched_at));
+    assert_eq!(history.known_since(4), None);
+}
+
 /// A late heartbeat from before a restart of a target must not restore its old state.
 #[test]
 fn update_of_an_earlier_lifetime_is_ignored() {
