Revert "Announce a fetch also between two attempts at a failing origin"

When it is back, all hosts ask at once, no chunk arrives for a second, and the next host of each chunk takes over by the rule for missing progress.

What remains: requests to an origin that is back must be spread again, and a transfer that gets bytes must not be taken over.

--- a/src/host/chunks.rs
+++ b/src/host/chunks.rs
@@ -148,17 +148,6 @@
         }
     }
 
-    /// Records that no chunk of a version is being fetched from the origin.
-    pub fn clear_fetching(&self, manifest: &Manifest) {
-        let mut versions = self.versions.lock();
-        let found = versions
-            .iter_mut()
-            .find(|v| matches(v, &manifest.model, manifest.version));
-        if let Some(version) = found {
-            version.fetching.fill(false);
-        }
-    }
-
     /// Completes when a manifest or chunk is added, or the fetch of a chunk begins.
     pub fn changed(&self) -> Notified<'_> {
         self.changed.notified()
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -49,7 +49,10 @@
 
 impl<C: Clock> Drop for Download<C> {
     fn drop(&mut self) {
-        self.host.chunks.clear_fetching(&self.manifest);
+        for transfer in &self.transfers {
+            let chunks = &self.host.chunks;
+            chunks.set_fetching(&self.manifest, transfer.chunk, false);
+        }
     }
 }
 
@@ -379,11 +382,9 @@
             log!(level, version, index, peer = finished.peer.as_str(), reason = reason.as_str(); "chunk not received");
         }
         if finished.source == Source::Origin {
-            if finished.result.is_ok() {
-                let chunks = &self.host.chunks;
-                chunks.set_fetching(&self.manifest, finished.chunk, false);
-            } else {
-                // Still announced as being fetched: this host tries again.
+            let chunks = &self.host.chunks;
+            chunks.set_fetching(&self.manifest, finished.chunk, false);
+            if finished.result.is_err() {
                 self.origin_failed = Some(now);
                 self.origin_retry = Some(now + ORIGIN_BACKOFF);
             }
