Show for each topic when the store last answered a call for it

Logs and metrics can't tell a watch that is never answered from a store that had nothing to say: contact with the store is one time for all topics, and pings renew it.

Change: StoreContact, now in node/freshness.rs, also has the time of the last answer for each topic; the gauge corianderramp_catalog_age_seconds shows it. Nothing decides by it yet.

Ruled out: a log line for each watch, which costs processor time on each node that follows the store.

Tests: metrics_page, telemetry pass.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,7 +13,8 @@
 
 use crate::clock::Clock;
 use crate::entry::retry;
-use crate::node::follow::{self, StoreContact};
+use crate::node::follow;
+use crate::node::freshness::StoreContact;
 use crate::node::settings::{Listen, Settings};
 use crate::node::stop::Signals;
 use crate::node::{Error, ListenSnafu, MissingSnafu, SharedCatalog, metrics_listener};
@@ -138,6 +139,7 @@
     fn refresh(&self) {
         telemetry::set_process(self.phase(), self.active());
         telemetry::set_catalog(&self.catalog.snapshot());
+        telemetry::set_contact(&self.store_contact, self.clock.now());
     }
 }
 
--- a/src/host.rs
+++ b/src/host.rs
@@ -18,7 +18,8 @@
 use crate::clock::Clock;
 use crate::digest::Digest;
 use crate::fleet;
-use crate::node::follow::{self, StoreContact};
+use crate::node::follow;
+use crate::node::freshness::StoreContact;
 use crate::node::settings::{Bounds, Settings};
 use crate::node::stop::Signals;
 use crate::node::{Error, ListenSnafu, MissingSnafu, SharedCatalog, metrics_listener, relay};
@@ -175,6 +176,7 @@
         let active = self.slots.lock().active();
         telemetry::set_process(telemetry::Process::phase(self), active as usize);
         telemetry::set_catalog(&self.catalog.snapshot());
+        telemetry::set_contact(&self.contact, self.clock.now());
     }
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,6 +9,7 @@
 use crate::fleet::catalog::Catalog;
 
 pub mod follow;
+pub mod freshness;
 pub mod message;
 pub mod relay;
 pub mod settings;
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -2,18 +2,17 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use log::{debug, info, warn};
 use metrics::counter;
-use parking_lot::Mutex;
 use rand::RngExt;
 use tokio::sync::watch;
 use tokio::time;
 
 use crate::clock::Clock;
 use crate::fleet::catalog::{Catalog, Entry, LISTED_AGE, Topic};
+use crate::node::freshness::StoreContact;
 use crate::node::settings::Settings;
 use crate::node::{SharedCatalog, relay};
 use crate::platform::decode;
@@ -37,43 +36,6 @@
 /// Longest backoff after failed calls.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
-/// Time of the last contact with the store, shared by all topics.
-#[derive(Clone, Debug, Default)]
-pub struct StoreContact {
-    /// Last answer to a call of this node.
-    last: Arc<Mutex<Option<Instant>>>,
-    /// Last contact of the relay that this node follows.
-    relayed: Arc<Mutex<Option<Instant>>>,
-    /// Held by the topic that probes an unreachable store for all of them.
-    probe_lock: Arc<tokio::sync::Mutex<()>>,
-}
-
-impl StoreContact {
-    fn record(&self, now: Instant) {
-        *self.last.lock() = Some(now);
-    }
-
-    /// Records that a relay was in contact with the store at `at`.
-    pub fn record_relayed(&self, at: Instant) {
-        let mut relayed = self.relayed.lock();
-        *relayed = (*relayed).max(Some(at));
-    }
-
-    /// Time since the store last answered this node or the relay that it follows; `None` if
-    /// it never did.
-    #[must_use]
-    pub fn age(&self, now: Instant) -> Option<Duration> {
-        let last = (*self.last.lock()).max(*self.relayed.lock());
-        last.map(|at| now.saturating_duration_since(at))
-    }
-
-    /// Time since the store last answered a call of this node.
-    fn own_age(&self, now: Instant) -> Option<Duration> {
-        let last = *self.last.lock();
-        last.map(|at| now.saturating_duration_since(at))
-    }
-}
-
 /// Spawns the tasks that follow the store, directly or through a relay of the region.
 /// Returns the time of the last contact with the store, which these tasks update.
 pub fn start<C: Clock>(settings: &Settings, catalog: &SharedCatalog, clock: &C) -> StoreContact {
@@ -260,7 +222,7 @@
                 .increment(1);
             match synced {
                 Ok(next) => {
-                    self.contact.record(self.clock.now());
+                    self.contact.record_topic(topic, self.clock.now());
                     if is_failing {
                         info!(topic = topic.name(), revision = next; "store calls succeed again");
                         is_failing = false;
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -24,7 +24,7 @@
 use crate::fleet::catalog::{Catalog, Topic};
 use crate::net;
 use crate::node::SharedCatalog;
-use crate::node::follow::StoreContact;
+use crate::node::freshness::StoreContact;
 
 pub mod choice;
 pub mod codec;
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::fleet::catalog::{Catalog, Topic};
+use crate::node::freshness::StoreContact;
 use crate::shared_state::{Phase, SharedState};
 
 /// Type of a metric.
@@ -58,10 +59,12 @@
 const COORDINATOR_EPOCH: &str = "corianderramp_coordinator_epoch";
 /// Gauge of the store revision up to which a topic is known.
 const CATALOG_REVISION: &str = "corianderramp_catalog_revision";
+/// Gauge of the time since a topic was last known to be current.
+const CATALOG_AGE: &str = "corianderramp_catalog_age_seconds";
 
 /// All metrics that the processes export. docs/operations/metrics.md says what to do
 /// when one of them changes.
-pub const METRICS: [Metric; 21] = [
+pub const METRICS: [Metric; 22] = [
     Metric {
         name: REQUESTS_TOTAL,
         kind: Type::Counter,
@@ -170,6 +173,12 @@
         labels: &["topic"],
         help: "Store revision up to which a gateway or host knows a topic",
     },
+    Metric {
+        name: CATALOG_AGE,
+        kind: Type::Gauge,
+        labels: &["topic"],
+        help: "Seconds since the store last answered a call for a topic, of the node or its relay",
+    },
     Metric {
         name: "corianderramp_store_calls_total",
         kind: Type::Counter,
@@ -241,6 +250,15 @@
     }
 }
 
+/// Sets the gauges of the time since each topic was last known to be current.
+pub(crate) fn set_contact(contact: &StoreContact, now: Instant) {
+    for topic in Topic::ALL {
+        if let Some(age) = contact.topic_age(topic, now) {
+            metrics::gauge!(CATALOG_AGE, "topic" => topic.name()).set(age.as_secs_f64());
+        }
+    }
+}
+
 /// Sets the gauges of the phase and of the requests in progress.
 #[allow(clippy::cast_precision_loss)]
 pub(crate) fn set_process(phase: Phase, active: usize) {
