Split the stand-ins of the users' platform and its test fleet into files

Change: the store moves to users/store.rs, the fleet to support/users_fleet.rs; the fleet's time limits are a field, which replaces gateway_within. No check changes.

--- /dev/null
+++ b/standins/src/users/store.rs
@@ -0,0 +1,156 @@
+//! Simulated store of the platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use http::{StatusCode, Uri};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+use tokio::time;
+
+use super::{Error, HttpResponse, connection_reset, full_response, query, serve};
+
+#[derive(Clone, Debug)]
+struct Change {
+    kind: String,
+    name: String,
+    revision: u64,
+    spec: Option<Value>,
+}
+
+/// Simulated store of the platform.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    changes: Arc<Mutex<Vec<Change>>>,
+    /// Numbers of the VMs whose calls are rejected.
+    rejected: Arc<Mutex<Vec<u8>>>,
+    full_cost: Arc<AtomicUsize>,
+    changed: Arc<Notify>,
+}
+
+impl Store {
+    /// Starts a store with one port for each VM number in `vms`, counted from the port of
+    /// `address`. All processes of a test have the same source address, so the store
+    /// identifies the VM by the port.
+    pub async fn start(address: SocketAddr, vms: std::ops::Range<u8>) -> Self {
+        let store = Self::default();
+        for vm in vms {
+            let served = store.clone();
+            serve(Self::address_for(address, vm), move |request| {
+                let store = served.clone();
+                async move { store.handle(request.uri(), vm).await }
+            })
+            .await;
+        }
+        store
+    }
+
+    /// Returns the address at which the store at `address` serves the VM number `vm`.
+    #[must_use]
+    pub fn address_for(address: SocketAddr, vm: u8) -> SocketAddr {
+        SocketAddr::new(address.ip(), address.port() + u16::from(vm))
+    }
+
+    /// Creates or replaces an object.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.change(kind, name, Some(spec));
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.change(kind, name, None);
+    }
+
+    /// Rejects calls of one VM and aborts its watches.
+    pub fn reject_vm(&self, vm: u8) {
+        self.rejected.lock().push(vm);
+        self.changed.notify_waiters();
+    }
+
+    /// Number of calls so far that did not accept stale data and so have the full cost,
+    /// including rejected ones.
+    #[must_use]
+    pub fn full_cost_calls(&self) -> usize {
+        self.full_cost.load(Ordering::Relaxed)
+    }
+
+    /// Serves all VMs again.
+    pub fn accept_all(&self) {
+        self.rejected.lock().clear();
+    }
+
+    fn change(&self, kind: &str, name: &str, spec: Option<Value>) {
+        let mut changes = self.changes.lock();
+        let revision = changes.len() as u64 + 1;
+        changes.push(Change {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            revision,
+            spec,
+        });
+        drop(changes);
+        self.changed.notify_waiters();
+    }
+
+    async fn handle(&self, uri: &Uri, vm: u8) -> Result<HttpResponse, Error> {
+        if query(uri, "stale_ok") != Some("1") {
+            self.full_cost.fetch_add(1, Ordering::Relaxed);
+        }
+        if self.rejected.lock().contains(&vm) {
+            return Ok(full_response(StatusCode::SERVICE_UNAVAILABLE, ""));
+        }
+        let kind = uri.path().trim_start_matches("/objects/").to_owned();
+        let Some(since) = query(uri, "watch").and_then(|w| w.parse().ok()) else {
+            return Ok(full_response(StatusCode::OK, self.list(&kind).to_string()));
+        };
+        let wait = query(uri, "wait_ms")
+            .and_then(|w| w.parse().ok())
+            .unwrap_or(0);
+        let end = time::Instant::now() + Duration::from_millis(wait);
+        loop {
+            let changed = self.changed.notified();
+            if self.rejected.lock().contains(&vm) {
+                return Err(connection_reset());
+            }
+            let events = self.events(&kind, since);
+            if !events.is_empty() || time::Instant::now() >= end {
+                let revision = self.changes.lock().len();
+                let content = json!({"events": events, "as_of": revision});
+                return Ok(full_response(StatusCode::OK, content.to_string()));
+            }
+            // The next iteration returns once the wait time of the watch has passed.
+            let _ = time::timeout_at(end, changed).await;
+        }
+    }
+
+    fn list(&self, kind: &str) -> Value {
+        let changes = self.changes.lock();
+        let same = changes.iter().filter(|c| c.kind == kind);
+        let newest = same.clone().filter(|c| {
+            !same
+                .clone()
+                .any(|o| o.name == c.name && o.revision > c.revision)
+        });
+        let items: Vec<Value> = newest.filter(|c| c.spec.is_some()).map(object).collect();
+        json!({"items": items, "has_more": false, "as_of": changes.len()})
+    }
+
+    fn events(&self, kind: &str, since: u64) -> Vec<Value> {
+        let changes = self.changes.lock();
+        let new = changes
+            .iter()
+            .filter(|c| c.kind == kind && c.revision > since);
+        new.map(|c| json!({"removed": c.spec.is_none(), "object": object(c)}))
+            .collect()
+    }
+}
+
+fn object(change: &Change) -> Value {
+    json!({
+        "metadata": {"name": change.name, "revision": change.revision},
+        "spec": change.spec,
+    })
+}
--- a/standins/tests/users_platform.rs
+++ b/standins/tests/users_platform.rs
@@ -4,166 +4,18 @@
 #![allow(clippy::unwrap_used)]
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
-use bytes::Bytes;
-use corianderramp::clock;
-use corianderramp::net;
-use corianderramp::node::settings::{Bounds, Listen, Role, Settings, Target as HostTarget};
-use corianderramp::node::stop::Signals;
-use corianderramp::{gateway, host, settings};
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::Full;
+use http::{Method, StatusCode};
 use serde_json::json;
 use standins::harness::Subnet;
 use standins::users::{self, Behavior, Origin, Store, Target};
 use tokio::time;
 
-/// Time limit for expected events; long enough for a busy machine.
-const TIMEOUT: Duration = Duration::from_secs(20);
-/// Number of chunks of a version.
-const CHUNKS: usize = 12;
-/// Numbers of the VMs that may run a gateway or host.
-const VMS: std::ops::Range<u8> = 10..40;
+use users_fleet::{CHUNKS, Fleet, TIMEOUT, VMS, bounds, call, call_until_ok, request, wait_until};
 
-struct Fleet {
-    net: Subnet,
-    store: Store,
-    origin: Origin,
-}
-
-impl Fleet {
-    async fn start(index: u8) -> Self {
-        let net = Subnet::new(index);
-        let store = Store::start(net.address(1, 8000), VMS).await;
-        let origin = Origin::start(net.address(2, 8000), CHUNKS).await;
-        store.put(
-            "config",
-            "main",
-            users::config_spec(1, net.address(2, 8000), CHUNKS),
-        );
-        Self { net, store, origin }
-    }
-
-    /// Starts a target on VM number `vm` and registers it in the store.
-    async fn target(&self, vm: u8, service: &str, version: u64, behavior: Behavior) -> Target {
-        let id: &'static str = format!("i-{vm}").leak();
-        let address = self.net.address(vm, 9000);
-        let target = Target::start(id, address, version, behavior).await;
-        self.store
-            .put("servers", id, users::target_spec(service, address, version));
-        target
-    }
-
-    fn settings(&self, role: Role, vm: u8) -> Settings {
-        let ports = [7700, 7715];
-        let host_target = HostTarget {
-            address: self.net.address(vm, 9000),
-            service: "llm".into(),
-        };
-        let listen = Listen {
-            callers: self.net.address(vm, 8080),
-            probes: self.net.address(vm, 8081),
-        };
-        Settings {
-            role,
-            vm: format!("vm-{vm}"),
-            data_center: "z-a".into(),
-            region: "r".into(),
-            centers: [("z-a".to_owned(), "r".to_owned())].into(),
-            address: self.net.ip(vm),
-            ports,
-            listen: (role == Role::Gateway).then_some(listen),
-            store: Store::address_for(self.net.address(1, 8000), vm),
-            target: (role == Role::Host).then_some(host_target),
-            link_mbps: 100.0,
-            bounds: Bounds {
-                stop_ms: 8_000,
-                weights_ms: 8_000,
-                config_ms: 2_000,
-            },
-            metrics: None,
-            log: settings::Log::default(),
-        }
-    }
-
-    /// Starts a gateway on VM number `vm`; returns its address for callers.
-    fn gateway(&self, vm: u8) -> SocketAddr {
-        let settings = self.settings(Role::Gateway, vm);
-        let signals = Signals::install(PathBuf::new()).unwrap();
-        tokio::spawn(gateway::run(settings, signals, clock::System));
-        self.net.address(vm, 8080)
-    }
-
-    /// Starts a gateway on VM number `vm` of a deployment in which requests must not begin on
-    /// old weights later than `weights_ms` after a release.
-    fn gateway_within(&self, vm: u8, weights_ms: u64) -> SocketAddr {
-        let mut settings = self.settings(Role::Gateway, vm);
-        settings.bounds.weights_ms = weights_ms;
-        let signals = Signals::install(PathBuf::new()).unwrap();
-        tokio::spawn(gateway::run(settings, signals, clock::System));
-        self.net.address(vm, 8080)
-    }
-
-    /// Starts a host on VM number `vm`.
-    fn host(&self, vm: u8) {
-        let settings = self.settings(Role::Host, vm);
-        let signals = Signals::install(PathBuf::new()).unwrap();
-        tokio::spawn(host::run(settings, signals, clock::System));
-    }
-}
-
-fn request(method: Method, path: &str, id: &str) -> Request<Full<Bytes>> {
-    Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", "a.example")
-        .header("x-corianderramp-request-id", id)
-        .header("x-corianderramp-deadline-ms", "2500")
-        .header("x-corianderramp-token-count", "100,10")
-        .header("x-corianderramp-model", "m0")
-        .header("x-corianderramp-tenant", "somebody else")
-        .header("api-key", "key-1")
-        .body(Full::from("body"))
-        .unwrap()
-}
-
-async fn call(
-    gateway: SocketAddr,
-    request: Request<Full<Bytes>>,
-) -> Result<Response<Bytes>, net::Error> {
-    net::call_once(gateway, request, Duration::from_secs(5), 1 << 20).await
-}
-
-/// Repeats a request until the response is 200, which needs the gateway to know the targets.
-async fn call_until_ok(gateway: SocketAddr, method: Method, path: &str) -> Response<Bytes> {
-    let retry = async {
-        loop {
-            let response = call(gateway, request(method.clone(), path, "warm-up")).await;
-            if let Ok(response) = response
-                && response.status() == StatusCode::OK
-            {
-                return response;
-            }
-            time::sleep(Duration::from_millis(50)).await;
-        }
-    };
-    time::timeout(TIMEOUT, retry)
-        .await
-        .expect("the gateway did not serve the request in time")
-}
-
-async fn wait_until(condition: &str, check: impl Fn() -> bool) {
-    let wait = async {
-        while !check() {
-            time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    time::timeout(TIMEOUT, wait)
-        .await
-        .unwrap_or_else(|_| panic!("timed out waiting until {condition}"));
-}
+#[path = "support/users_fleet.rs"]
+mod users_fleet;
 
 fn events(range: std::ops::RangeInclusive<u64>) -> String {
     let event = |i| format!("id: {i}\ndata: token{i}\n\n");
@@ -209,6 +61,7 @@
         net: empty,
         store,
         origin: Origin::default(),
+        bounds: bounds(),
     };
     let gateway = fleet.gateway(20);
     let response = async {
@@ -589,10 +442,11 @@
 /// begin after the limit of the release.
 #[tokio::test]
 async fn request_that_waits_at_a_target_does_not_begin_on_old_weights() {
-    let fleet = Fleet::start(18).await;
+    let mut fleet = Fleet::start(18).await;
+    fleet.bounds.weights_ms = 2_000;
     let behavior = Behavior::LateStream(Duration::from_millis(900));
     let _target = fleet.target(10, "llm", 1, behavior).await;
-    let gateway = fleet.gateway_within(20, 2_000);
+    let gateway = fleet.gateway(20);
     call_until_ok(gateway, Method::POST, "/plan/x").await;
     fleet
         .store
