--- a/standins/src/users/store.rs
+++ b/standins/src/users/store.rs
@@ -27,6 +27,9 @@
     changes: Arc<Mutex<Vec<Change>>>,
     /// Numbers of the VMs whose calls are rejected.
     rejected: Arc<Mutex<Vec<u8>>>,
+    /// Kinds whose calls are accepted and never answered.
+    unanswered: Arc<Mutex<Vec<String>>>,
+    unanswered_calls: Arc<AtomicUsize>,
     full_cost: Arc<AtomicUsize>,
     changed: Arc<Notify>,
 }
@@ -82,6 +85,23 @@
         self.rejected.lock().clear();
     }
 
+    /// Never answers calls for objects of `kind` that arrive from now on. Their connections
+    /// stay open, and watches that already wait are answered.
+    pub fn ignore_calls(&self, kind: &str) {
+        self.unanswered.lock().push(kind.to_owned());
+    }
+
+    /// Number of calls so far that are never answered.
+    #[must_use]
+    pub fn ignored_calls(&self) -> usize {
+        self.unanswered_calls.load(Ordering::Relaxed)
+    }
+
+    /// Answers all calls that arrive from now on.
+    pub fn answer_all(&self) {
+        self.unanswered.lock().clear();
+    }
+
     fn change(&self, kind: &str, name: &str, spec: Option<Value>) {
         let mut changes = self.changes.lock();
         let revision = changes.len() as u64 + 1;
@@ -103,6 +123,10 @@
             return Ok(full_response(StatusCode::SERVICE_UNAVAILABLE, ""));
         }
         let kind = uri.path().trim_start_matches("/objects/").to_owned();
+        if self.unanswered.lock().contains(&kind) {
+            self.unanswered_calls.fetch_add(1, Ordering::Relaxed);
+            return std::future::pending().await;
+        }
         let Some(since) = query(uri, "watch").and_then(|w| w.parse().ok()) else {
             return Ok(full_response(StatusCode::OK, self.list(&kind).to_string()));
         };
