--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -152,6 +152,31 @@
     assert_eq!(cache.parts(&relay, earlier, now).unwrap()[0].base, 0);
 }
 
+/// Followers whose revision the relay has never had must all get the whole topic as such; all
+/// but the first could not decode it, and had no other relay that was current.
+#[test]
+fn every_follower_with_an_unknown_revision_gets_the_whole_topic() {
+    let (cache, now) = (Cache::default(), Instant::now());
+    let mut relay = catalog(3);
+    relay.replace_targets(9, relay.targets.clone());
+    relay.removals_floor = 8;
+    relay.update_config(9, Config::default());
+    let known = Known::parse("4,5,0,1").unwrap();
+    for _ in 0..2 {
+        let mut outdated = Catalog::default();
+        outdated.update_config(4, Config::default());
+        outdated.advance_targets(5);
+        let follower = shared(outdated);
+        for part in cache.parts(&relay, known, now).unwrap() {
+            assert_eq!(part.base, 0);
+            codec::apply(&follower, &part, now).unwrap();
+        }
+        let snapshot = follower.snapshot();
+        assert_eq!(snapshot.config_revision, 9);
+        assert_eq!(snapshot.targets, relay.targets);
+    }
+}
+
 /// A relay that fails must not exhaust the memory of its followers with a small response
 /// that grows without end when it is decompressed.
 #[test]
