Mark a whole topic as such for every follower of a relay

Callers saw: requests handled by a configuration that was no longer in force.

Cause: the cache of encoded topics files a whole topic under the revision that the follower asked with, by overwriting its base. The first follower gets the part as encoded; each later one with that revision gets the whole topic with a base, as if it were changes. Class: a cached value that carries its key.

Ruled out: followers that tell the two apart by their content, as a relay must not say what is wrong.

Change: the revision asked with is kept beside the part.

Elsewhere: the chunk cache and the cache of configurations have keys apart from their values.

--- a/src/node/relay/codec.rs
+++ b/src/node/relay/codec.rs
@@ -130,7 +130,8 @@
 /// once for all of them.
 #[derive(Debug, Default)]
 pub struct Cache {
-    parts: Mutex<Vec<Part>>,
+    /// Parts with the revision that the follower had.
+    parts: Mutex<Vec<(u64, Part)>>,
     configs: Mutex<Vec<(u64, Arc<Config>)>>,
 }
 
@@ -182,8 +183,8 @@
         let mut parts = self.parts.lock();
         let found = parts
             .iter()
-            .find(|p| (p.topic, p.revision) == key && p.base == base);
-        if let Some(found) = found {
+            .find(|(known, p)| (p.topic, p.revision) == key && *known == base);
+        if let Some((_, found)) = found {
             return Ok(found.clone());
         }
         let encoded = match topic {
@@ -199,11 +200,7 @@
         if parts.len() == MAX_PARTS {
             parts.remove(0);
         }
-        // Stored for the revision that was asked for, also if the whole topic was encoded.
-        parts.push(Part {
-            base,
-            ..encoded.clone()
-        });
+        parts.push((base, encoded.clone()));
         Ok(encoded)
     }
 
