Confirm each topic with the store within the limit for a change

Callers saw: requests handled by a configuration that had been replaced more than 2 s before (CONFIG), and requests that reached targets that were leaving (DRAIN).

Cause: a watch that was sent while the store answered nobody is never answered afterwards; its connection stays open, TCP keepalive sees a live peer. The node waited 26.5 s for it. If it was the first relay of a region, all its nodes stayed with it, because contact with the store was one time for all topics and was renewed by pings on other connections. Class: liveness of one channel inferred from another.

Ruled out: a task that hung or a relay that encoded too little (the same nodes sent their other topics on). Repeating watches when pings succeed again: misses a single lost answer. Shorter probes: they say nothing of a topic. Comparing revisions with other regions: misses an answer that all regions lose.

Change: a watch ends after half of the time within which a change must be in force (releases: a quarter of theirs) and counts as lost a quarter later; it is repeated at once on a new connection, and a list follows only if that fails too. Topics whose answer is overdue count as lost contact, so that followers leave the relay. The times are decided in node/freshness.rs.

Why it works: every topic has an answer to its own call within three quarters of the limit, whatever the other connections do; a quarter is left to ask again and to pass the change on.

--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -12,14 +12,12 @@
 
 use crate::clock::Clock;
 use crate::fleet::catalog::{Catalog, Entry, LISTED_AGE, Topic};
-use crate::node::freshness::StoreContact;
+use crate::node::freshness::{Cadence, StoreContact};
 use crate::node::settings::Settings;
 use crate::node::{SharedCatalog, relay};
 use crate::platform::decode;
 use crate::platform::store::{Client, Error, Event, List, Object};
 
-/// Longest time that a watch call blocks; TCP keepalive detects dead connections earlier.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
 /// Delay before the next watch after targets changed: changes come in bursts, and one call
 /// returns them all. Well within the time in which a leaving target must stop getting requests.
 const TARGET_DELAY: Duration = Duration::from_millis(600);
@@ -39,11 +37,12 @@
 /// Spawns the tasks that follow the store, directly or through a relay of the region.
 /// Returns the time of the last contact with the store, which these tasks update.
 pub fn start<C: Clock>(settings: &Settings, catalog: &SharedCatalog, clock: &C) -> StoreContact {
-    let contact = StoreContact::default();
+    let contact = StoreContact::new(&settings.bounds);
     let (direct, is_direct) = watch::channel(false);
     for topic in Topic::ALL {
         tokio::spawn(run(
             topic,
+            Cadence::of(topic, &settings.bounds),
             settings.store,
             catalog.clone(),
             contact.clone(),
@@ -159,6 +158,7 @@
 /// Keeps `topic` of the catalog current while this node follows the store directly.
 async fn run<C: Clock>(
     topic: Topic,
+    cadence: Cadence,
     store: SocketAddr,
     catalog: SharedCatalog,
     contact: StoreContact,
@@ -167,10 +167,12 @@
 ) {
     let mut follower = Follower {
         topic,
+        cadence,
         catalog,
         contact,
         clock,
         has_changed: false,
+        is_overdue: false,
         rejected: BTreeSet::new(),
     };
     loop {
@@ -194,11 +196,14 @@
 
 struct Follower<C: Clock> {
     topic: Topic,
+    cadence: Cadence,
     catalog: SharedCatalog,
     contact: StoreContact,
     clock: C,
     /// Whether the last watch call returned changes.
     has_changed: bool,
+    /// Whether the last watch call was not answered in time.
+    is_overdue: bool,
     /// Name and revision of objects that could not be decoded, so that each is logged once.
     rejected: BTreeSet<(String, u64)>,
 }
@@ -223,6 +228,7 @@
             match synced {
                 Ok(next) => {
                     self.contact.record_topic(topic, self.clock.now());
+                    self.is_overdue = false;
                     if is_failing {
                         info!(topic = topic.name(), revision = next; "store calls succeed again");
                         is_failing = false;
@@ -230,6 +236,10 @@
                     backoff = INITIAL_BACKOFF;
                     revision = Some(next);
                 }
+                Err(e) if e.is_unanswered() && revision.is_some() && !self.is_overdue => {
+                    warn!(topic = topic.name(), revision; "watch not answered, asking again");
+                    self.is_overdue = true;
+                }
                 Err(Error::Compacted { revision: asked }) => {
                     info!(topic = topic.name(), revision = asked; "store history compacted, listing again");
                     revision = None;
@@ -286,10 +296,19 @@
             self.apply_list(list);
             return Ok(revision);
         };
-        if self.has_changed {
-            time::sleep(batch_delay(self.topic)).await;
+        let Cadence { interval, grace } = self.cadence;
+        let (delay, wait) = if self.is_overdue {
+            (Duration::ZERO, Duration::ZERO)
+        } else if self.has_changed {
+            let delay = batch_delay(self.topic).min(interval);
+            (delay, interval.saturating_sub(delay))
+        } else {
+            (Duration::ZERO, interval)
+        };
+        if !delay.is_zero() {
+            time::sleep(delay).await;
         }
-        let changes = client.watch(self.topic, revision, WATCH_TIMEOUT).await?;
+        let changes = client.watch(self.topic, revision, wait, grace).await?;
         self.has_changed = !changes.events.is_empty();
         for event in changes.events {
             self.apply(event, Duration::ZERO);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -17,7 +17,7 @@
 const MAX_RESPONSE: usize = 4 * 1024 * 1024;
 /// Time limit for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time limit for a response; the response to a watch may take its wait time longer.
+/// Time limit for a response to a call other than a watch.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Why a call failed.
@@ -49,6 +49,17 @@
     },
 }
 
+impl Error {
+    /// Whether the store accepted the connection and did not answer in time.
+    #[must_use]
+    pub fn is_unanswered(&self) -> bool {
+        let Self::Net { source } = self else {
+            return false;
+        };
+        matches!(source, net::Error::Timeout { .. })
+    }
+}
+
 /// Object in the store.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct Object {
@@ -170,7 +181,8 @@
         }
     }
 
-    /// Waits up to `wait` for changes after `revision`.
+    /// Waits up to `wait` for changes after `revision`, and up to `grace` longer for the
+    /// response.
     ///
     /// # Errors
     /// Fails with [`Error::Compacted`] when the store no longer has the changes since
@@ -180,13 +192,14 @@
         topic: Topic,
         revision: u64,
         wait: Duration,
+        grace: Duration,
     ) -> Result<Changes, Error> {
         let wait_ms = wait.as_millis();
         let path = format!(
             "/objects/{}?watch={revision}&wait_ms={wait_ms}",
             kind(topic)
         );
-        let body = self.get(&path, wait + RESPONSE_TIMEOUT, revision).await?;
+        let body = self.get(&path, wait + grace, revision).await?;
         serde_json::from_slice(&body).context(MalformedSnafu)
     }
 
