Log the prompt parts of requests whose target failed

Change: a gateway reads the parts of a prompt that other requests may share, and logs their hashes in "request finished" if an attempt failed. Nothing decides by them yet.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -45,6 +45,8 @@
     pub resumed: u32,
     /// Prompt length and expected answer length, tokens.
     tokens: (u32, u32),
+    /// Hashes of the prompt's shared parts.
+    parts: Vec<u64>,
     /// When the last bytes were sent to the caller.
     last_sent: Option<Instant>,
     /// Time to the first bytes of the response.
@@ -68,6 +70,7 @@
             trace: Trace::default(),
             resumed: 0,
             tokens: (0, 0),
+            parts: Vec::new(),
             last_sent: None,
             time_to_first: Duration::ZERO,
             max_pause: Duration::ZERO,
@@ -99,6 +102,13 @@
         if self.last_sent.is_some() {
             histogram!("corianderramp_gateway_first_seconds").record(self.time_to_first);
         }
+        // Targets that die together are traced by the prompt parts of their requests.
+        let parts = if self.trace.reason.is_empty() {
+            String::new()
+        } else {
+            let parts: Vec<String> = self.parts.iter().map(|p| format!("{p:016x}")).collect();
+            parts.join(",")
+        };
         info!(
             id = self.id.as_str(),
             route = self.route.as_str(),
@@ -114,6 +124,7 @@
             asks = self.trace.asks,
             resumed = self.resumed,
             reason = self.trace.reason,
+            parts = parts.as_str(),
             config = self.config_version;
             "request finished"
         );
@@ -204,6 +215,7 @@
         let caller_headers = request::caller_headers(&parts.headers);
         record.id.clone_from(&caller_headers.request_id);
         record.tokens = (caller_headers.prompt_tokens, caller_headers.output_tokens);
+        record.parts.clone_from(&caller_headers.shared_parts);
         let catalog = self.catalog.snapshot();
         let config = catalog.config.clone().ok_or(NO_CONFIG)?;
         record.config_version = config.version;
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -4,6 +4,7 @@
 
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Uri};
+use xxhash_rust::xxh3;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-corianderramp-request-id");
 /// Remaining time for the response, milliseconds; a duration, not a point in time.
@@ -16,6 +17,8 @@
 const PATH: HeaderName = HeaderName::from_static("path");
 /// Prompt length and maximum output length in tokens, separated by a comma.
 const TOKENS: HeaderName = HeaderName::from_static("x-corianderramp-token-count");
+/// Parts of the prompt as `id:tokens`, separated by commas; the last one is the request's own.
+const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-corianderramp-prompt-prefix");
 const MODEL: HeaderName = HeaderName::from_static("x-corianderramp-model");
 const LENGTH_HINT: HeaderName = HeaderName::from_static("x-corianderramp-length-hint");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
@@ -36,6 +39,8 @@
     pub prompt_tokens: u32,
     /// Expected output length, tokens.
     pub output_tokens: u32,
+    /// Hashes of the prompt parts that other requests may share, in order.
+    pub shared_parts: Vec<u64>,
     /// Id of the last event received, if the caller resumes a stream.
     pub last_event: Option<u64>,
     /// Name of the requested model.
@@ -51,6 +56,14 @@
     text(headers, name)?.parse().ok()
 }
 
+fn shared_parts(value: &str) -> Vec<u64> {
+    let ids = value.split(',').map(|part| part.split(':').next());
+    let hashes = ids.flatten().map(|id| xxh3::xxh3_64(id.trim().as_bytes()));
+    let mut parts: Vec<u64> = hashes.collect();
+    parts.pop();
+    parts
+}
+
 /// Reads a caller's request headers; missing and malformed values are left out or 0.
 ///
 /// ```
@@ -74,6 +87,7 @@
         api_key: text(headers, &API_KEY),
         prompt_tokens,
         output_tokens: hint.map_or(max_output, |hint: u32| hint.min(max_output.max(1))),
+        shared_parts: shared_parts(&text(headers, &PROMPT_PARTS).unwrap_or_default()),
         last_event: number(headers, &LAST_EVENT),
         model: text(headers, &MODEL),
     }
