--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -27,6 +27,9 @@
 /// Name of the service whose targets are model engines.
 const ENGINE_SERVICE: &str = "llm";
 
+/// Time for which a crashed target is away.
+pub const RESTART_TIME: Duration = Duration::from_millis(600);
+
 type Error = std::io::Error;
 type HttpResponse = Response<StreamBody<BoxStream<'static, Result<Frame<Bytes>, Error>>>>;
 
@@ -93,6 +96,9 @@
     Stream(u64, u64),
     /// Streams all events, the first one after this delay.
     LateStream(Duration),
+    /// Streams all events, but crashes when it begins to answer a request whose prompt has
+    /// this part. The connections to it then break, and it is back after [`RESTART_TIME`].
+    CrashOn(&'static str),
     /// Never responds.
     Hang,
 }
@@ -116,6 +122,15 @@
     version: u64,
     orders: u64,
     staged: Vec<Option<Bytes>>,
+    crashes: u64,
+    /// When the target is back after its last crash.
+    back_at: Option<time::Instant>,
+}
+
+impl Engine {
+    fn is_away(&self) -> bool {
+        self.back_at.is_some_and(|at| time::Instant::now() < at)
+    }
 }
 
 /// Simulated target with scripted behavior.
@@ -171,6 +186,12 @@
         self.engine.lock().version
     }
 
+    /// Number of crashes so far.
+    #[must_use]
+    pub fn crashes(&self) -> u64 {
+        self.engine.lock().crashes
+    }
+
     /// Overwrites a staged chunk with invalid data.
     pub fn corrupt_chunk(&self, index: usize) {
         if let Some(chunk) = self.engine.lock().staged.get_mut(index) {
@@ -191,6 +212,9 @@
             .await
             .map_err(|_| connection_reset())?
             .to_bytes();
+        if self.engine.lock().is_away() {
+            return Err(connection_reset());
+        }
         let path = parts.uri.path().to_owned();
         let index = query(&parts.uri, "item_count").and_then(|i| i.parse::<usize>().ok());
         match (path.as_str(), index) {
@@ -214,6 +238,7 @@
         }
         let id = parts.headers.get("x-corianderramp-request-id").cloned();
         let last_event = parts.headers.get("last-event-id").cloned();
+        let prompt = parts.headers.get("x-corianderramp-prompt-prefix").cloned();
         let behavior = self.behavior.lock().clone();
         self.received.lock().push(Received {
             uri: parts.uri,
@@ -221,7 +246,7 @@
             body: data,
             ran: behavior != Behavior::Decline,
         });
-        let mut response = self.respond(&behavior, last_event).await?;
+        let mut response = self.respond(&behavior, last_event, prompt).await?;
         let headers = response.headers_mut();
         if let Some(id) = id {
             headers.insert("x-corianderramp-request-id", id);
@@ -243,8 +268,20 @@
         &self,
         behavior: &Behavior,
         last_event: Option<http::HeaderValue>,
+        prompt: Option<http::HeaderValue>,
     ) -> Result<HttpResponse, Error> {
         match behavior {
+            Behavior::CrashOn(part) => {
+                let prompt = prompt.as_ref().and_then(|p| p.to_str().ok());
+                let mut parts = prompt.unwrap_or_default().split(',');
+                if parts.any(|p| p.split(':').next() == Some(*part)) {
+                    let mut engine = self.engine.lock();
+                    engine.crashes += 1;
+                    engine.back_at = Some(time::Instant::now() + RESTART_TIME);
+                    return Ok(Response::new(body(vec![Err(connection_reset())])));
+                }
+                Ok(Response::new(self.paced_events(1..=10)))
+            }
             Behavior::Respond(text) => Ok(full_response(StatusCode::OK, *text)),
             Behavior::WrongRequestId => Ok(full_response(StatusCode::OK, "for somebody else")),
             Behavior::Decline => {
@@ -286,6 +323,27 @@
         }
     }
 
+    /// Event stream that breaks when the target crashes.
+    fn paced_events(
+        &self,
+        numbers: std::ops::RangeInclusive<u64>,
+    ) -> StreamBody<BoxStream<'static, Result<Frame<Bytes>, Error>>> {
+        let engine = self.engine.clone();
+        let crashes = engine.lock().crashes;
+        let paced = stream::iter(numbers).then(move |i| {
+            let engine = engine.clone();
+            async move {
+                time::sleep(Duration::from_millis(5)).await;
+                if engine.lock().crashes != crashes {
+                    return Err(connection_reset());
+                }
+                let event = Bytes::from(format!("id: {i}\ndata: token{i}\n\n"));
+                Ok(Frame::data(event))
+            }
+        });
+        StreamBody::new(paced.boxed())
+    }
+
     fn report(&self) -> Value {
         let engine = self.engine.lock();
         let models = if engine.version == 0 {
@@ -293,7 +351,7 @@
         } else {
             json!([{"name": "m0", "version": engine.version, "adapters": []}])
         };
-        json!({"busy": false, "sequence": engine.orders, "queued": 0, "running": 0, "models": models, "born": 1})
+        json!({"busy": false, "sequence": engine.orders, "queued": 0, "running": 0, "models": models, "born": engine.crashes + 1})
     }
 
     fn handle_order(&self, data: &Bytes) -> HttpResponse {
