Refuse prompt parts that crash targets

Cause: gateways remember nothing of the requests in progress when a target dies. Each such request was retried once and so took two targets along, and each of the gateways would have had to learn by itself. Class: a retry that carries the cause of the failure on, without memory across processes.

Ruled out: whole requests that repeat (lengths differ); engines that die by themselves (half of them within 0.8 s).

Change: gateways report the prompt parts of a request that broke to the target's host, unless an answer with the part ended well within a minute. If the target died, the host tells all gateways, again with each subscription for 3 s, and all of it to gateways that start later. A part is refused after three deaths one after the other or five at any time, with 503, since the request has not run; and such a request is not retried. An answer that ends well clears a part everywhere.

Why it works: a part that crashes each target never ends well, and every death with it counts at all gateways; first parts and accounts that sound requests share have ended well somewhere.

Not covered: whole requests that crash targets of plain services; a death whose stream ends by closing the connection between two events looks like a regular end.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -20,12 +20,14 @@
 use crate::node::{Error, ListenSnafu, MissingSnafu, SharedCatalog, metrics_listener};
 use crate::place::backoff::RefusalRate;
 use crate::place::pool::Pool;
+use crate::place::quarantine::Quarantine;
 use crate::shared_state::Phase;
 use crate::telemetry;
 
 mod agents;
 mod answer;
 mod attempt;
+mod crashes;
 mod events;
 mod guard;
 mod handle;
@@ -51,6 +53,7 @@
     agents: agents::AgentClient,
     retry_budget: Mutex<retry::Budget>,
     refusals: Mutex<RefusalRate>,
+    quarantine: Mutex<Quarantine>,
     bounds: crate::node::settings::Bounds,
     /// Cancelled at the start of the shutdown.
     stopping: CancellationToken,
@@ -93,6 +96,7 @@
         agents: agents::AgentClient::new(socket, rand::rng().random(), settings.ports[0]),
         retry_budget: Mutex::new(retry::Budget::new(now)),
         refusals: Mutex::new(RefusalRate::new(now)),
+        quarantine: Mutex::default(),
         bounds: settings.bounds.clone(),
         stopping: CancellationToken::new(),
         closing: CancellationToken::new(),
--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -84,7 +84,8 @@
         self.send(target, Body::SlotRelease(release));
     }
 
-    fn send(&self, target: SocketAddr, body: Body) {
+    /// Sends a datagram to the host of `target`.
+    pub(super) fn send(&self, target: SocketAddr, body: Body) {
         let sent = self
             .socket
             .try_send_to(&message::encode(body), self.agent_address(target));
@@ -191,6 +192,8 @@
                         let _ = sender.send(reply);
                     }
                 }
+                Some(Body::TargetDeath(death)) => self.receive_death(from, &death),
+                Some(Body::SoundParts(sound)) => self.receive_sound(&sound),
                 _ => log::debug!(from:% = from; "datagram ignored"),
             }
         }
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -24,6 +24,11 @@
 /// two seconds, so it must continue well before that.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The connection of a stream broke.
+const BROKE: &str = "stream broke";
+/// A stream ended before its last event was complete.
+const ENDED_EARLY: &str = "ended within an event";
+
 /// The target's response broke off, was too large or late. As the error of a stream, it makes
 /// hyper close the caller's connection without a proper end of the body.
 #[derive(Clone, Copy, Debug)]
@@ -109,7 +114,10 @@
                     response.slot.record_result(true);
                 }
             }
-            ReadResult::Interrupted(reason) => return Err(reason),
+            ReadResult::Interrupted(reason) => {
+                self.report_broken(reason);
+                return Err(reason);
+            }
         }
         Ok(())
     }
@@ -154,10 +162,12 @@
                     if let Some(response) = self.response.take() {
                         response.slot.record_result(true);
                     }
+                    self.gateway.record_sound(&self.call);
                     self.record.set_outcome("served");
                     return None;
                 }
                 ReadResult::Interrupted(reason) => {
+                    self.report_broken(reason);
                     if let Some(response) = self.response.take() {
                         response.slot.record_result(false);
                     }
@@ -171,6 +181,16 @@
         }
     }
 
+    /// Reports an interruption that the target's death may have caused.
+    fn report_broken(&self, reason: &'static str) {
+        if let Some(response) = &self.response
+            && [BROKE, ENDED_EARLY].contains(&reason)
+        {
+            self.gateway
+                .report_broken(&self.call, response.slot.address);
+        }
+    }
+
     /// Reads until at least one event is complete.
     async fn read_events(&mut self) -> ReadResult {
         let Some(response) = &mut self.response else {
@@ -189,8 +209,8 @@
             let frame = match time::timeout(timeout, response.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) if self.splitter.is_complete() => return ReadResult::End,
-                Ok(None) => return ReadResult::Interrupted("ended within an event"),
-                Ok(Some(Err(_))) => return ReadResult::Interrupted("stream broke"),
+                Ok(None) => return ReadResult::Interrupted(ENDED_EARLY),
+                Ok(Some(Err(_))) => return ReadResult::Interrupted(BROKE),
                 Err(_) if begin.is_some_and(|begin| begin <= timeout) => {
                     return ReadResult::Interrupted("weights overdue");
                 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -301,6 +301,7 @@
                 let reason = e.to_string();
                 debug!(reason = reason.as_str(); "request to target failed");
                 slot.record_result(false);
+                self.report_broken(call, slot.address);
                 return Err(SendError::MayHaveRun("connection broke"));
             }
             Err(_) => {
@@ -360,6 +361,7 @@
         (route.kind.is_retryable() || !trace.may_have_run)
             && trace.sends < route.max_attempts
             && now < call.deadline
+            && !self.is_quarantined(call)
             && (trace.sends == 0 || self.retry_budget.lock().try_retry(now))
     }
 
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -169,6 +169,9 @@
 const INTERRUPTED: Refusal = Refusal::new(StatusCode::BAD_GATEWAY, "answer broke off");
 const TIMED_OUT: Refusal = Refusal::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
 
+/// Not run; coming back does not help either.
+const CRASHES_TARGETS: Refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "crashes targets");
+
 /// Outcome when no target serves the request.
 const NO_TARGET: &str = "no target";
 
@@ -263,6 +266,9 @@
         mut call: Call,
         mut record: Record<C>,
     ) -> Result<Reply<C>, (Refusal, Record<C>)> {
+        if self.is_quarantined(&call) {
+            return Err((CRASHES_TARGETS, record));
+        }
         self.retry_budget.lock().record_request(self.clock.now());
         loop {
             let last_event = call.caller_headers.last_event;
--- a/src/host.rs
+++ b/src/host.rs
@@ -32,6 +32,7 @@
 
 mod announce;
 mod chunks;
+mod deaths;
 mod exchange;
 mod fetch;
 mod places;
@@ -81,6 +82,7 @@
     /// Notified when a message arrives in `inbox`.
     received: Notify,
     chunks: chunks::ChunkCache,
+    deaths: Mutex<deaths::DeathLog>,
     upload_pacer: Mutex<Pacer>,
     /// Held while a manifest is fetched from the origin.
     manifest_lock: tokio::sync::Mutex<()>,
@@ -136,6 +138,7 @@
         inbox: Mutex::default(),
         received: Notify::new(),
         chunks: chunks::ChunkCache::default(),
+        deaths: Mutex::default(),
         upload_pacer: Mutex::new(Pacer::new(settings.link_mbps, clock.now())),
         manifest_lock: tokio::sync::Mutex::default(),
         report_client: tokio::sync::Mutex::new(engine::ReportClient::new(target.address)),
@@ -293,23 +296,29 @@
                 if self.is_reachable.send_replace(false) {
                     let reason = e.to_string();
                     warn!(target:% = self.target, reason = reason.as_str(); "target unreachable");
+                    self.record_death();
                 }
                 self.set_open(false, "target unreachable");
                 self.slots.lock().reset();
                 return;
             }
         };
-        if !self.is_reachable.send_replace(true) {
+        let was_reachable = self.is_reachable.send_replace(true);
+        if !was_reachable {
             info!(target:% = self.target, weights = report.weights, born = report.started; "target reached");
         }
         let now = self.clock.now();
         let before = self.report.send_replace(report.clone());
         let mut slots = self.slots.lock();
-        if before.started != report.started {
+        let is_restarted = before.started != report.started;
+        if is_restarted {
             slots.reset();
         }
         slots.reconcile(report.running + report.queued, now);
         drop(slots);
+        if is_restarted && was_reachable {
+            self.record_death();
+        }
         if before.weights != report.weights {
             info!(before = before.weights, after = report.weights; "target weights changed");
         }
--- /dev/null
+++ b/src/host/deaths.rs
@@ -0,0 +1,170 @@
+//! Tells gateways which prompt parts were in progress when the target died.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use log::warn;
+use rand::RngExt;
+
+use crate::clock::Clock;
+use crate::host::Host;
+use crate::node::message::{Body, CrashReport, SoundParts, TargetDeath};
+use crate::place::quarantine::QUARANTINE_TIME;
+
+/// Longest time between a target's death, as its host notices it, and a gateway's report of a
+/// request that broke.
+const MATCH_TIME: Duration = Duration::from_secs(1);
+/// Time for which a death is sent again whenever a gateway renews its subscription, since
+/// datagrams can be lost.
+const RESEND_TIME: Duration = Duration::from_secs(3);
+/// Maximum number of deaths that are remembered.
+const MAX_DEATHS: usize = 16;
+/// Maximum number of parts of a death, which must fit into a datagram.
+const MAX_PARTS: usize = 128;
+
+/// Death of the target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Death {
+    /// Random identifier.
+    pub id: u64,
+    /// When the host noticed it.
+    pub at: Instant,
+    /// Parts that may have caused it, sorted.
+    pub parts: Vec<u64>,
+}
+
+impl Death {
+    fn add(&mut self, parts: &[u64]) -> bool {
+        let before = self.parts.len();
+        for part in parts {
+            if let Err(i) = self.parts.binary_search(part)
+                && self.parts.len() < MAX_PARTS
+            {
+                self.parts.insert(i, *part);
+            }
+        }
+        self.parts.len() > before
+    }
+}
+
+/// Recent deaths of the target and requests that broke there.
+#[derive(Clone, Debug, Default)]
+pub struct DeathLog {
+    /// Reports of gateways with their time, which a death may explain.
+    reports: Vec<(Instant, Vec<u64>)>,
+    /// In order of time.
+    deaths: Vec<Death>,
+}
+
+impl DeathLog {
+    /// Records that a request with `parts` broke. Returns the death that explains it if these
+    /// parts are new there.
+    pub fn record_report(&mut self, parts: &[u64], now: Instant) -> Option<Death> {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < MATCH_TIME;
+        self.reports.retain(|(at, _)| is_recent(*at));
+        if let Some(last) = self.deaths.last_mut().filter(|d| is_recent(d.at)) {
+            return last.add(parts).then(|| last.clone());
+        }
+        if self.reports.len() < MAX_PARTS {
+            self.reports.push((now, parts.to_vec()));
+        }
+        None
+    }
+
+    /// Records that the target died. Returns the death if requests broke shortly before.
+    pub fn record_death(&mut self, id: u64, now: Instant) -> Option<Death> {
+        let mut death = Death {
+            id,
+            at: now,
+            parts: Vec::new(),
+        };
+        for (at, parts) in self.reports.drain(..) {
+            if now.saturating_duration_since(at) < MATCH_TIME {
+                death.add(&parts);
+            }
+        }
+        if self.deaths.len() == MAX_DEATHS {
+            self.deaths.remove(0);
+        }
+        self.deaths.push(death.clone());
+        Some(death).filter(|d| !d.parts.is_empty())
+    }
+
+    /// Removes parts that proved sound from all deaths; returns those that were there.
+    pub fn remove_sound(&mut self, parts: &[u64]) -> Vec<u64> {
+        let is_known = |part: &&u64| {
+            let mut deaths = self.deaths.iter();
+            deaths.any(|d| d.parts.binary_search(part).is_ok())
+        };
+        let known: Vec<u64> = parts.iter().filter(is_known).copied().collect();
+        for death in &mut self.deaths {
+            death.parts.retain(|p| !known.contains(p));
+        }
+        known
+    }
+
+    /// Deaths to send to a gateway that subscribes, which may have just started.
+    pub fn recent(&self, is_new: bool, now: Instant) -> impl Iterator<Item = &Death> {
+        let limit = if is_new { QUARANTINE_TIME } else { RESEND_TIME };
+        let is_recent = move |d: &&Death| now.saturating_duration_since(d.at) < limit;
+        let deaths = self.deaths.iter().filter(|d| !d.parts.is_empty());
+        deaths.filter(is_recent)
+    }
+}
+
+impl<C: Clock> Host<C> {
+    /// Records that the target died, and tells all gateways.
+    pub(super) fn record_death(&self) {
+        let id = rand::rng().random();
+        let death = self.deaths.lock().record_death(id, self.clock.now());
+        if let Some(death) = death {
+            self.publish_death(&death);
+        }
+    }
+
+    /// Handles a gateway's report of a request that broke.
+    pub(super) fn receive_report(&self, report: &CrashReport) {
+        let now = self.clock.now();
+        let death = self.deaths.lock().record_report(&report.parts, now);
+        if let Some(death) = death {
+            self.publish_death(&death);
+        }
+    }
+
+    /// Handles the message of a gateway that parts proved sound, and passes on what is new.
+    pub(super) fn receive_sound(&self, sound: &SoundParts) {
+        let parts = self.deaths.lock().remove_sound(&sound.parts);
+        if parts.is_empty() {
+            return;
+        }
+        self.send_to_gateways(&Body::SoundParts(SoundParts { parts }));
+    }
+
+    fn publish_death(&self, death: &Death) {
+        let parts: Vec<String> = death.parts.iter().map(|p| format!("{p:016x}")).collect();
+        warn!(target:% = self.target, death = death.id, parts = parts.join(",").as_str(); "target died during requests");
+        self.send_to_gateways(&self.death_message(death));
+    }
+
+    /// Tells a gateway that subscribes of recent deaths.
+    pub(super) fn send_deaths(&self, gateway: SocketAddr, is_new: bool) {
+        let now = self.clock.now();
+        let deaths: Vec<Death> = self.deaths.lock().recent(is_new, now).cloned().collect();
+        for death in deaths {
+            self.send(gateway, self.death_message(&death));
+        }
+    }
+
+    fn death_message(&self, death: &Death) -> Body {
+        let age = self.clock.now().saturating_duration_since(death.at);
+        Body::TargetDeath(TargetDeath {
+            id: death.id,
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            parts: death.parts.clone(),
+        })
+    }
+}
+
+#[cfg(test)]
+#[path = "deaths_test.rs"]
+mod test;
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Subscriber {
     address: SocketAddr,
+    /// Random identifier of the gateway process.
+    gateway_id: u64,
     renewed: Instant,
 }
 
@@ -48,8 +50,9 @@
     fn receive(&self, body: Body, from: SocketAddr) {
         let now = self.clock.now();
         match body {
-            Body::Subscribe(_) => {
-                self.subscribe_gateway(from, now);
+            Body::Subscribe(subscribe) => {
+                let is_new = self.subscribe_gateway(from, subscribe.gateway_id, now);
+                self.send_deaths(from, is_new);
                 self.send(from, Body::State(self.state()));
             }
             Body::SlotRequest(request) => {
@@ -58,7 +61,11 @@
             }
             Body::SlotRelease(release) => self.slots.lock().release(release.grant_id(), now),
             Body::HeldChunks(held) => self.receive_held(from, held, now),
-            Body::State(_) | Body::SlotReply(_) => log::debug!(from:% = from; "datagram ignored"),
+            Body::CrashReport(report) => self.receive_report(&report),
+            Body::SoundParts(sound) => self.receive_sound(&sound),
+            Body::State(_) | Body::SlotReply(_) | Body::TargetDeath(_) => {
+                log::debug!(from:% = from; "datagram ignored");
+            }
         }
     }
 
@@ -81,13 +88,21 @@
         }
     }
 
-    fn subscribe_gateway(&self, address: SocketAddr, now: Instant) {
+    /// Renews the subscription of a gateway; returns whether its process is a new one.
+    fn subscribe_gateway(&self, address: SocketAddr, gateway_id: u64, now: Instant) -> bool {
         let mut gateways = self.gateways.lock();
         gateways.retain(|g| now.saturating_duration_since(g.renewed) < SUBSCRIPTION_TTL);
-        let renewed = now;
+        let subscriber = Subscriber {
+            address,
+            gateway_id,
+            renewed: now,
+        };
         match gateways.binary_search_by(|g| g.address.cmp(&address)) {
-            Ok(i) => gateways[i].renewed = renewed,
-            Err(i) => gateways.insert(i, Subscriber { address, renewed }),
+            Ok(i) => std::mem::replace(&mut gateways[i], subscriber).gateway_id != gateway_id,
+            Err(i) => {
+                gateways.insert(i, subscriber);
+                true
+            }
         }
     }
 
@@ -107,10 +122,14 @@
 
     /// Sends the state to all subscribed gateways.
     fn publish_state(&self) {
-        let state = Body::State(self.state());
+        self.send_to_gateways(&Body::State(self.state()));
+    }
+
+    /// Sends a datagram to all subscribed gateways.
+    pub(super) fn send_to_gateways(&self, body: &Body) {
         let gateways = self.gateways.lock().clone();
         for gateway in gateways {
-            self.send(gateway.address, state.clone());
+            self.send(gateway.address, body.clone());
         }
     }
 
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Packet {
     /// Content; `None` for an unknown kind.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: Option<Body>,
 }
 
@@ -33,6 +33,15 @@
     /// Chunks of a version that a host holds.
     #[prost(message, tag = "6")]
     HeldChunks(HeldChunks),
+    /// Report of a gateway that a request broke at the host's target.
+    #[prost(message, tag = "7")]
+    CrashReport(CrashReport),
+    /// Report of a host that its target died.
+    #[prost(message, tag = "8")]
+    TargetDeath(TargetDeath),
+    /// Prompt parts that proved sound.
+    #[prost(message, tag = "9")]
+    SoundParts(SoundParts),
 }
 
 /// Subscription of a gateway to a host's state; the gateway renews it periodically.
@@ -139,6 +148,37 @@
     pub fetching: Vec<u8>,
 }
 
+/// Request that broke at a target.
+#[derive(Clone, PartialEq, Message)]
+pub struct CrashReport {
+    /// Hashes of the parts of its prompt that have not proved sound.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub parts: Vec<u64>,
+}
+
+/// Death of a target during requests.
+#[derive(Clone, PartialEq, Message)]
+pub struct TargetDeath {
+    /// Random identifier of the death.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// Time since the death, milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// Hashes of the prompt parts that may have caused it.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub parts: Vec<u64>,
+}
+
+/// Prompt parts of answers that ended well, sent to hosts that suspect them and from there to
+/// all gateways.
+#[derive(Clone, PartialEq, Message)]
+pub struct SoundParts {
+    /// Hashes of the parts.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub parts: Vec<u64>,
+}
+
 impl HeldChunks {
     /// Indexes of the held chunks of a version that has `count` chunks.
     pub fn held_indexes(&self, count: usize) -> impl Iterator<Item = usize> {
--- a/src/place.rs
+++ b/src/place.rs
@@ -4,4 +4,5 @@
 pub mod backoff;
 pub mod pace;
 pub mod pool;
+pub mod quarantine;
 pub mod slots;
