Count the death of a target only against its most likely cause

Change: a death counts only against the part with the most deaths, and requests with three or more reads of events from the dying target are not suspected, since a part that crashes targets does so when the answer begins.

Evidence: death_counts_against_its_most_frequent_part failed before.

What remains: a new part that was in progress at all of the same deaths can't be told from the one that crashes targets until an answer with it ends well.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -24,6 +24,9 @@
 /// two seconds, so it must continue well before that.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Reads of a stream from which its request is not suspected when the target dies: a request
+/// that crashes targets does so when its answer begins.
+const PROVEN_READS: u32 = 3;
 /// The connection of a stream broke.
 const BROKE: &str = "stream broke";
 /// A stream ended before its last event was complete.
@@ -66,6 +69,8 @@
     /// Current response; `None` after its end or a failure.
     response: Option<TargetResponse<C>>,
     splitter: Splitter,
+    /// Reads with complete events from the current response.
+    reads: u32,
     /// First events, read before the response to the caller begins.
     first_events: Bytes,
     record: Record<C>,
@@ -96,6 +101,7 @@
             splitter: Splitter::after(call.caller_headers.last_event),
             call,
             response: Some(response),
+            reads: 0,
             first_events: Bytes::new(),
             record,
         }
@@ -184,6 +190,7 @@
     /// Reports an interruption that the target's death may have caused.
     fn report_broken(&self, reason: &'static str) {
         if let Some(response) = &self.response
+            && self.reads < PROVEN_READS
             && [BROKE, ENDED_EARLY].contains(&reason)
         {
             self.gateway
@@ -223,6 +230,7 @@
                 Some(events) if events.is_empty() => {}
                 Some(events) => {
                     response.start_limit = None;
+                    self.reads += 1;
                     return ReadResult::Events(events);
                 }
                 None => return ReadResult::Interrupted("event too long"),
@@ -251,6 +259,7 @@
         }
         self.splitter = Splitter::after(last_event);
         self.record.resumed += 1;
+        self.reads = 0;
         self.response = Some(response);
         true
     }
--- a/src/place/quarantine.rs
+++ b/src/place/quarantine.rs
@@ -51,27 +51,26 @@
         self.deaths.last().map(|d| d.at)
     }
 
-    /// Number of deaths of which no two happened at about the same moment.
-    fn spaced_deaths(&self) -> usize {
-        let mut last: Option<Instant> = None;
-        let is_spaced = |death: &&Death| {
-            let spaced = last.is_none_or(|l| death.at.duration_since(l) >= DEATH_SPACING);
-            if spaced {
-                last = Some(death.at);
-            }
-            spaced
-        };
-        self.deaths.iter().filter(is_spaced).count()
+    fn has_death(&self, id: u64) -> bool {
+        self.deaths.iter().any(|d| d.id == id)
     }
+}
 
-    fn is_refused(&self, now: Instant) -> bool {
-        let last = self.last_death();
-        last.is_some_and(|at| now.saturating_duration_since(at) < QUARANTINE_TIME)
-            && (self.deaths.len() >= MIN_DEATHS || self.spaced_deaths() >= MIN_SPACED_DEATHS)
-    }
+/// Number of deaths, in order of time, of which no two happened at about the same moment.
+fn count_spaced(deaths: &[&Death]) -> usize {
+    let mut last: Option<Instant> = None;
+    let is_spaced = |death: &&&Death| {
+        let spaced = last.is_none_or(|l| death.at.duration_since(l) >= DEATH_SPACING);
+        if spaced {
+            last = Some(death.at);
+        }
+        spaced
+    };
+    deaths.iter().filter(is_spaced).count()
 }
 
-/// Prompt parts under suspicion and parts that proved sound, as hashes.
+/// Prompt parts and whole requests under suspicion, and those that proved sound, as hashes. A
+/// request counts as one more part.
 ///
 /// ```
 /// use std::time::{Duration, Instant};
@@ -102,10 +101,27 @@
     pub fn is_refused(&self, parts: &[u64], now: Instant) -> bool {
         parts.iter().any(|part| {
             let found = self.find(*part).ok();
-            found.is_some_and(|i| self.suspects[i].is_refused(now))
+            found.is_some_and(|i| self.is_suspect_refused(&self.suspects[i], now))
         })
     }
 
+    fn is_suspect_refused(&self, suspect: &Suspect, now: Instant) -> bool {
+        let last = suspect.last_death();
+        if last.is_none_or(|at| now.saturating_duration_since(at) >= QUARANTINE_TIME)
+            || suspect.deaths.len() < MIN_SPACED_DEATHS
+        {
+            return false;
+        }
+        // A death counts only against the part with the most deaths: the other ones were in
+        // progress beside it.
+        let is_explained = |death: &Death| {
+            let mut others = self.suspects.iter();
+            others.any(|o| o.deaths.len() > suspect.deaths.len() && o.has_death(death.id))
+        };
+        let deaths: Vec<&Death> = suspect.deaths.iter().filter(|d| !is_explained(d)).collect();
+        deaths.len() >= MIN_DEATHS || count_spaced(&deaths) >= MIN_SPACED_DEATHS
+    }
+
     /// Parts that have not proved sound, which may have crashed a target.
     #[must_use]
     pub fn unproven(&self, parts: &[u64], now: Instant) -> Vec<u64> {
@@ -124,10 +140,10 @@
                 self.suspects.insert(i, Suspect { part, deaths });
                 i
             });
-            let deaths = &mut self.suspects[i].deaths;
-            if deaths.iter().any(|d| d.id == death.id) {
+            if self.suspects[i].has_death(death.id) {
                 continue;
             }
+            let deaths = &mut self.suspects[i].deaths;
             let position = deaths.partition_point(|d| d.at <= death.at);
             deaths.insert(position, death);
             if deaths.len() > MAX_DEATHS {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -105,6 +105,33 @@
     assert_eq!(sound, SHARED[..1]);
 }
 
+/// A sound part that is new arrives while another one crashes targets, and is in progress at
+/// some of them: it had been refused like the other one, and nothing could clear it.
+#[test]
+fn death_counts_against_its_most_frequent_part() {
+    let mut quarantine = Quarantine::default();
+    let start = Instant::now();
+    let new_part = 9;
+    for i in 0..6 {
+        let at = start + ms(200) * u32::from(i);
+        let parts = if i % 3 == 0 {
+            vec![BAD]
+        } else {
+            vec![BAD, new_part]
+        };
+        quarantine.record_death(death(i, at), &parts, at);
+    }
+    let now = start + ms(1_500);
+    assert!(quarantine.is_refused(&[BAD], now));
+    assert!(!quarantine.is_refused(&[new_part], now));
+    // It is refused for deaths that the other one does not explain.
+    for i in 6..9 {
+        let at = now + ms(200) * u32::from(i);
+        quarantine.record_death(death(i, at), &[new_part], at);
+    }
+    assert!(quarantine.is_refused(&[new_part], now + ms(2_000)));
+}
+
 /// Millions of parts pass a gateway; those that it remembers must not fill its memory, and
 /// forgetting may not refuse sound ones.
 #[test]
