Refuse also whole requests that crash engines

Callers would have seen: targets lost one after the other because one request comes again and again, at any gateway.

Change: the hash of method, path, account and body is one more part for the quarantine.

Evidence: request_that_crashed_targets_reaches_no_more failed before, with 20 more requests where 3 are allowed.

Not covered: plain services, which have no host that could confirm a death.

Checks changed: the requests of crashing_part.rs have bodies of their own now, since all had the same and so were the same request.

Tests: crashing_part, 4 passed.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 use metrics::counter;
 use rand::RngExt;
 use tokio::time;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::clock::Clock;
 use crate::fleet::catalog::{Catalog, ReleaseHistory};
@@ -61,11 +62,30 @@
     pub headers: HeaderMap,
     /// Request body.
     pub body: Bytes,
+    /// Hashes of what may crash a target: the shared parts of the prompt and the whole request.
+    pub fingerprints: Vec<u64>,
     /// When the caller must have the final answer.
     pub deadline: Instant,
 }
 
 impl Call {
+    /// Hash of what is the same when a caller sends a request again.
+    #[must_use]
+    pub fn request_fingerprint(&self) -> u64 {
+        let uri = self.uri.path_and_query().map_or("", |p| p.as_str());
+        let mut hasher = Xxh3::new();
+        for part in [
+            self.method.as_str(),
+            uri,
+            self.account.as_deref().unwrap_or_default(),
+        ] {
+            hasher.update(part.as_bytes());
+            hasher.update(&[0]);
+        }
+        hasher.update(&self.body);
+        hasher.digest()
+    }
+
     /// Returns the route of the request.
     #[must_use]
     pub fn route(&self) -> &Route {
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -1,4 +1,5 @@
-//! Exchanges with hosts which prompt parts crash targets and which proved sound.
+//! Exchanges with hosts which prompt parts and requests crash targets and which proved sound.
+//! Both count as parts here.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,11 +16,10 @@
 const REPORT_COPIES: usize = 2;
 
 impl<C: Clock> Gateway<C> {
-    /// Returns whether a request is refused because a part of its prompt crashes targets.
+    /// Returns whether a request is refused because a part of it crashes targets.
     pub(super) fn is_quarantined(&self, call: &Call) -> bool {
         let now = self.clock.now();
-        let parts = &call.caller_headers.shared_parts;
-        self.quarantine.lock().is_refused(parts, now)
+        self.quarantine.lock().is_refused(&call.fingerprints, now)
     }
 
     /// Tells the host of `target` that the connection broke during a request there.
@@ -28,8 +28,7 @@
             return;
         }
         let now = self.clock.now();
-        let shared = &call.caller_headers.shared_parts;
-        let parts = self.quarantine.lock().unproven(shared, now);
+        let parts = self.quarantine.lock().unproven(&call.fingerprints, now);
         if parts.is_empty() {
             return;
         }
@@ -44,8 +43,7 @@
     /// of its prompt.
     pub(super) fn record_sound(&self, call: &Call) {
         let now = self.clock.now();
-        let parts = &call.caller_headers.shared_parts;
-        let cleared = self.quarantine.lock().record_sound(parts, now);
+        let cleared = self.quarantine.lock().record_sound(&call.fingerprints, now);
         for (reporter, part) in cleared {
             info!(part = format!("{part:016x}").as_str(); "prompt part proved sound");
             let parts = vec![part];
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -247,6 +247,7 @@
             uri: parts.uri,
             headers: parts.headers,
             body: Bytes::new(),
+            fingerprints: Vec::new(),
             deadline,
         };
         let left = deadline.saturating_duration_since(self.clock.now());
@@ -257,6 +258,9 @@
             Ok(Err(_)) => return Err(BODY_NOT_RECEIVED),
             Err(_) => return Err(SLOW_BODY),
         };
+        call.fingerprints
+            .clone_from(&call.caller_headers.shared_parts);
+        call.fingerprints.push(call.request_fingerprint());
         Ok(call)
     }
 
--- a/standins/tests/crashing_part.rs
+++ b/standins/tests/crashing_part.rs
@@ -105,8 +105,10 @@
     }
 }
 
+/// Request whose body differs from that of requests with other parts.
 fn prompt(id: &str, parts: &str) -> Request<Full<Bytes>> {
     let mut request = request(Method::POST, "/plan/x", id);
+    *request.body_mut() = Full::from(parts.to_owned());
     let parts = HeaderValue::from_str(parts).unwrap();
     let headers = request.headers_mut();
     headers.insert("x-corianderramp-prompt-prefix", parts);
@@ -174,3 +176,26 @@
         assert_eq!(answer, Some(StatusCode::OK), "request {i}");
     }
 }
+
+/// The same request comes again and again at all gateways and crashes each target that runs
+/// it; none of its parts is in another request.
+#[tokio::test]
+async fn request_that_crashed_targets_reaches_no_more() {
+    let deployment = Deployment::start(3).await;
+    let send = async |label: &str, count: usize| {
+        for i in 0..count {
+            let parts = format!("a0:40,{BAD_PART}:8");
+            let gateway = deployment.gateways[i % deployment.gateways.len()];
+            let answer = status(gateway, prompt(&format!("{label}-{i}"), &parts)).await;
+            assert_ne!(answer, Some(StatusCode::OK));
+            time::sleep(Duration::from_millis(200)).await;
+        }
+    };
+    send("crash", 6).await;
+    time::sleep(NOTICE_TIME).await;
+    deployment.wait_until_served().await;
+    let before = deployment.bad_arrivals();
+    send("later", 12).await;
+    let arrivals = deployment.bad_arrivals() - before;
+    assert!(arrivals <= MAX_ARRIVALS, "{arrivals} more requests");
+}
