Kill the agent in the switch tests only after a first success

an_agent_killed_before_the_switch_recovers was listed in KNOWN-RED.txt: "no request succeeded" beside load. Cause, traced before: the agent is killed 19 to 121 ms after the callers start; if no request is complete by then, all callers wait for the killed agent until the test stops them.

Change: the tests wait for the first success before the rollout.

--- a/standins/tests/switch.rs
+++ b/standins/tests/switch.rs
@@ -212,6 +212,11 @@
     let contents = [content("v1", 1), content("v2", 2)];
     let (mut fleet, _) = start(&fleet_settings(index, 1, 1_000, &contents), &contents).await;
     let (results, tasks) = start_callers(&fleet, &contents);
+    // All callers may be waiting for the agent when it is killed, and then until the end.
+    wait_for("a first success", || {
+        results.correct.load(Ordering::Relaxed) > 0
+    })
+    .await;
     // Without a permit, the agent stays before the switch until it is killed.
     fleet.coordinator.as_ref().unwrap().set_limit(0);
     let second = fleet.declare(&contents[1].manifest());
