Take a target for dead only if it refuses connections or has restarted

Callers would have seen: requests with sound prompt parts refused, because a target that was only slow to report for a while passed for dead each time while streams broke there for another reason.

Cause: a failed poll of the report, also one that timed out, counted as a death.

Change: DeathLog decides from the polls: a refused connection or a new start time is a death, once; a timeout says nothing. The stand-in target refuses connections while it is away, as a crashed process does; its HTTP server moves to users/server.rs.

--- a/src/host.rs
+++ b/src/host.rs
@@ -290,35 +290,30 @@
         let mut client = self.report_client.lock().await;
         let report = client.fetch(REPORT_TIMEOUT).await;
         drop(client);
+        self.record_poll(&report);
         let report = match report {
             Ok(report) => report,
             Err(e) => {
                 if self.is_reachable.send_replace(false) {
                     let reason = e.to_string();
                     warn!(target:% = self.target, reason = reason.as_str(); "target unreachable");
-                    self.record_death();
                 }
                 self.set_open(false, "target unreachable");
                 self.slots.lock().reset();
                 return;
             }
         };
-        let was_reachable = self.is_reachable.send_replace(true);
-        if !was_reachable {
+        if !self.is_reachable.send_replace(true) {
             info!(target:% = self.target, weights = report.weights, born = report.started; "target reached");
         }
         let now = self.clock.now();
         let before = self.report.send_replace(report.clone());
         let mut slots = self.slots.lock();
-        let is_restarted = before.started != report.started;
-        if is_restarted {
+        if before.started != report.started {
             slots.reset();
         }
         slots.reconcile(report.running + report.queued, now);
         drop(slots);
-        if is_restarted && was_reachable {
-            self.record_death();
-        }
         if before.weights != report.weights {
             info!(before = before.weights, after = report.weights; "target weights changed");
         }
--- a/src/host/deaths.rs
+++ b/src/host/deaths.rs
@@ -10,6 +10,7 @@
 use crate::host::Host;
 use crate::node::message::{Body, CrashReport, SoundParts, TargetDeath};
 use crate::place::quarantine::QUARANTINE_TIME;
+use crate::platform::engine::{self, Report};
 
 /// Longest time between a target's death, as its host notices it, and a gateway's report of a
 /// request that broke.
@@ -47,9 +48,23 @@
     }
 }
 
+/// Result of polling the target's report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Poll {
+    /// The target answered; the time of its start, Unix milliseconds.
+    Answered(u64),
+    /// The target refused the connection: its process has ended.
+    Refused,
+    /// The target did not answer. It may only be slow.
+    Failed,
+}
+
 /// Recent deaths of the target and requests that broke there.
 #[derive(Clone, Debug, Default)]
 pub struct DeathLog {
+    /// Start of the target that answered last; `None` before its first answer and after its
+    /// death.
+    living: Option<u64>,
     /// Reports of gateways with their time, which a death may explain.
     reports: Vec<(Instant, Vec<u64>)>,
     /// In order of time.
@@ -71,8 +86,18 @@
         None
     }
 
-    /// Records that the target died. Returns the death if requests broke shortly before.
-    pub fn record_death(&mut self, id: u64, now: Instant) -> Option<Death> {
+    /// Records the result of a poll. Returns the target's death, with the random identifier
+    /// `id`, if this shows it and requests broke shortly before.
+    pub fn record_poll(&mut self, poll: Poll, id: u64, now: Instant) -> Option<Death> {
+        let before = match poll {
+            Poll::Answered(started) => self.living.replace(started).filter(|b| *b != started),
+            Poll::Refused => self.living.take(),
+            Poll::Failed => None,
+        };
+        before.and_then(|_| self.record_death(id, now))
+    }
+
+    fn record_death(&mut self, id: u64, now: Instant) -> Option<Death> {
         let mut death = Death {
             id,
             at: now,
@@ -113,10 +138,15 @@
 }
 
 impl<C: Clock> Host<C> {
-    /// Records that the target died, and tells all gateways.
-    pub(super) fn record_death(&self) {
+    /// Records the result of polling the target, and tells all gateways of its death.
+    pub(super) fn record_poll(&self, poll: &Result<Report, engine::Error>) {
+        let poll = match poll {
+            Ok(report) => Poll::Answered(report.started),
+            Err(e) if e.is_refused() => Poll::Refused,
+            Err(_) => Poll::Failed,
+        };
         let id = rand::rng().random();
-        let death = self.deaths.lock().record_death(id, self.clock.now());
+        let death = self.deaths.lock().record_poll(poll, id, self.clock.now());
         if let Some(death) = death {
             self.publish_death(&death);
         }
--- a/src/host/deaths_test.rs
+++ b/src/host/deaths_test.rs
@@ -1,8 +1,19 @@
 use std::time::{Duration, Instant};
 
-use super::{DeathLog, RESEND_TIME};
+use super::{Death, DeathLog, Poll, RESEND_TIME};
 use crate::place::quarantine::QUARANTINE_TIME;
 
+/// Log of a host whose target has answered.
+fn log() -> DeathLog {
+    let mut log = DeathLog::default();
+    assert_eq!(log.record_poll(Poll::Answered(1), 0, Instant::now()), None);
+    log
+}
+
+fn die(log: &mut DeathLog, now: Instant) -> Option<Death> {
+    log.record_poll(Poll::Refused, 1, now)
+}
+
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -11,11 +22,11 @@
 /// report it only afterwards: both must count for the death.
 #[test]
 fn reports_before_and_after_a_death_belong_to_it() {
-    let mut log = DeathLog::default();
+    let mut log = log();
     let start = Instant::now();
     assert_eq!(log.record_report(&[5, 3], start), None);
     assert_eq!(log.record_report(&[3], start + ms(10)), None);
-    let death = log.record_death(1, start + ms(90)).unwrap();
+    let death = die(&mut log, start + ms(90)).unwrap();
     assert_eq!(death.parts, [3, 5]);
     // A copy adds nothing; another part does, under the same id.
     assert_eq!(log.record_report(&[5], start + ms(120)), None);
@@ -27,10 +38,10 @@
 /// not blamed for what broke long before.
 #[test]
 fn old_reports_are_dropped() {
-    let mut log = DeathLog::default();
+    let mut log = log();
     let start = Instant::now();
     assert_eq!(log.record_report(&[5], start), None);
-    assert_eq!(log.record_death(1, start + ms(1_500)), None);
+    assert_eq!(die(&mut log, start + ms(1_500)), None);
     assert_eq!(log.record_report(&[6], start + ms(4_000)), None);
     assert_eq!(log.recent(true, start + ms(4_000)).count(), 0);
 }
@@ -39,10 +50,10 @@
 /// proved sound are left out.
 #[test]
 fn subscribers_get_the_deaths_that_they_may_lack() {
-    let mut log = DeathLog::default();
+    let mut log = log();
     let start = Instant::now();
     log.record_report(&[5, 6], start);
-    log.record_death(1, start);
+    assert!(die(&mut log, start).is_some());
     let later = start + RESEND_TIME;
     assert_eq!(log.recent(false, later).count(), 0);
     assert_eq!(log.recent(true, later).count(), 1);
@@ -52,3 +63,37 @@
     assert_eq!(log.recent(true, later).count(), 0);
     assert_eq!(log.recent(true, start + QUARANTINE_TIME).count(), 0);
 }
+
+/// A target that is only slow to report, while streams break for another reason, must not
+/// pass for dead: sound prompt parts would be refused.
+#[test]
+fn silent_target_is_not_dead() {
+    let mut log = log();
+    let start = Instant::now();
+    for i in 0..10 {
+        let now = start + ms(200 * i);
+        log.record_report(&[5], now);
+        assert_eq!(log.record_poll(Poll::Failed, i, now), None);
+        assert_eq!(log.record_poll(Poll::Answered(1), i, now), None);
+    }
+}
+
+/// One death counts once, whether it shows by a refused connection, by a new start or both,
+/// and a target that has not started yet is not dead.
+#[test]
+fn death_is_recorded_once() {
+    let start = Instant::now();
+    let mut unborn = DeathLog::default();
+    unborn.record_report(&[5], start);
+    assert_eq!(die(&mut unborn, start), None);
+
+    let mut log = log();
+    log.record_report(&[5], start);
+    assert!(die(&mut log, start).is_some());
+    log.record_report(&[6], start);
+    assert_eq!(log.record_poll(Poll::Refused, 2, start), None);
+    assert_eq!(log.record_poll(Poll::Answered(2), 3, start), None);
+    log.record_report(&[7], start + ms(2_000));
+    let death = log.record_poll(Poll::Answered(3), 4, start + ms(2_000));
+    assert_eq!(death.unwrap().parts, [7]);
+}
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -43,6 +43,20 @@
     },
 }
 
+impl Error {
+    /// Whether the engine refused the connection, so that its process does not run.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        let Self::Net {
+            source: net::Error::Connect { source, .. },
+        } = self
+        else {
+            return false;
+        };
+        source.kind() == std::io::ErrorKind::ConnectionRefused
+    }
+}
+
 /// Status report of an engine.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -12,16 +12,18 @@
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time;
 
 pub use store::Store;
 
+use self::server::{
+    Error, HttpResponse, body, connection_reset, full_response, query, serve, serve_while_up,
+};
+
+mod server;
 mod store;
 
 /// Name of the service whose targets are model engines.
@@ -30,55 +32,6 @@
 /// Time for which a crashed target is away.
 pub const RESTART_TIME: Duration = Duration::from_millis(600);
 
-type Error = std::io::Error;
-type HttpResponse = Response<StreamBody<BoxStream<'static, Result<Frame<Bytes>, Error>>>>;
-
-fn connection_reset() -> Error {
-    std::io::ErrorKind::ConnectionReset.into()
-}
-
-fn body(
-    chunks: Vec<Result<Bytes, Error>>,
-) -> StreamBody<BoxStream<'static, Result<Frame<Bytes>, Error>>> {
-    let frames = chunks.into_iter().map(|c| c.map(Frame::data));
-    StreamBody::new(stream::iter(frames).boxed())
-}
-
-fn full_response(status: StatusCode, text: impl Into<Bytes>) -> HttpResponse {
-    let mut response = Response::new(body(vec![Ok(text.into())]));
-    *response.status_mut() = status;
-    response
-}
-
-fn query<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
-    let pairs = uri.query()?.split('&').filter_map(|p| p.split_once('='));
-    pairs.into_iter().find(|p| p.0 == name).map(|p| p.1)
-}
-
-/// Serves requests at `address` with `handler` until the test ends. An error of the handler
-/// closes the connection without a response.
-async fn serve<F, R>(address: SocketAddr, handler: F)
-where
-    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
-    R: Future<Output = Result<HttpResponse, Error>> + Send + 'static,
-{
-    let listener = TcpListener::bind(address)
-        .await
-        .expect("failed to bind the simulated server's address");
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let handler = handler.clone();
-            tokio::spawn(async move {
-                let service = service_fn(handler);
-                // Tests close connections on purpose.
-                let _ = http1::Builder::new()
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
-            });
-        }
-    });
-}
-
 /// How a target handles requests.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Behavior {
@@ -123,14 +76,6 @@
     orders: u64,
     staged: Vec<Option<Bytes>>,
     crashes: u64,
-    /// When the target is back after its last crash.
-    back_at: Option<time::Instant>,
-}
-
-impl Engine {
-    fn is_away(&self) -> bool {
-        self.back_at.is_some_and(|at| time::Instant::now() < at)
-    }
 }
 
 /// Simulated target with scripted behavior.
@@ -140,6 +85,8 @@
     behavior: Arc<Mutex<Behavior>>,
     received: Arc<Mutex<Vec<Received>>>,
     engine: Arc<Mutex<Engine>>,
+    /// Whether the target has crashed and is not back yet.
+    is_away: watch::Sender<bool>,
 }
 
 impl Target {
@@ -159,13 +106,14 @@
             behavior: Arc::new(Mutex::new(behavior)),
             received: Arc::default(),
             engine: Arc::new(Mutex::new(engine)),
+            is_away: watch::Sender::new(false),
         };
-        let served = target.clone();
-        serve(address, move |request| {
+        let (served, is_away) = (target.clone(), target.is_away.subscribe());
+        let handler = move |request| {
             let target = served.clone();
             async move { target.handle(request).await }
-        })
-        .await;
+        };
+        serve_while_up(address, handler, is_away).await;
         target
     }
 
@@ -212,7 +160,7 @@
             .await
             .map_err(|_| connection_reset())?
             .to_bytes();
-        if self.engine.lock().is_away() {
+        if *self.is_away.borrow() {
             return Err(connection_reset());
         }
         let path = parts.uri.path().to_owned();
@@ -275,9 +223,7 @@
                 let prompt = prompt.as_ref().and_then(|p| p.to_str().ok());
                 let mut parts = prompt.unwrap_or_default().split(',');
                 if parts.any(|p| p.split(':').next() == Some(*part)) {
-                    let mut engine = self.engine.lock();
-                    engine.crashes += 1;
-                    engine.back_at = Some(time::Instant::now() + RESTART_TIME);
+                    self.crash();
                     return Ok(Response::new(body(vec![Err(connection_reset())])));
                 }
                 Ok(Response::new(self.paced_events(1..=10)))
@@ -323,6 +269,19 @@
         }
     }
 
+    /// Ends the process of the target and starts it again after [`RESTART_TIME`].
+    fn crash(&self) {
+        self.engine.lock().crashes += 1;
+        if self.is_away.send_replace(true) {
+            return;
+        }
+        let is_away = self.is_away.clone();
+        tokio::spawn(async move {
+            time::sleep(RESTART_TIME).await;
+            is_away.send_replace(false);
+        });
+    }
+
     /// Event stream that breaks when the target crashes.
     fn paced_events(
         &self,
--- a/standins/src/users/store.rs
+++ b/standins/src/users/store.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 use tokio::time;
 
-use super::{Error, HttpResponse, connection_reset, full_response, query, serve};
+use super::server::{Error, HttpResponse, connection_reset, full_response, query, serve};
 
 #[derive(Clone, Debug)]
 struct Change {
