Keep parts with several deaths when many come under suspicion

Callers would have seen: a prompt part that crashes targets admitted again after a loss of many targets.

Cause: of more than 1,024 suspected parts, those suspected longest ago were dropped, which a refused part soon is, since nothing with it reaches targets.

Change: those with the fewest deaths are dropped first.

Evidence: refused_part_is_kept_among_many_suspects failed before.

--- a/src/place/quarantine.rs
+++ b/src/place/quarantine.rs
@@ -22,7 +22,7 @@
 const SOUND_TIME: Duration = Duration::from_secs(60);
 /// Maximum number of sound parts that are remembered, 32 bytes each.
 const MAX_SOUND: usize = 4_096;
-/// Maximum number of suspected parts; the ones suspected longest ago are dropped first.
+/// Maximum number of suspected parts; those with the fewest deaths are dropped first.
 const MAX_SUSPECTS: usize = 1_024;
 /// Maximum number of deaths that are remembered for a part.
 const MAX_DEATHS: usize = 16;
@@ -187,10 +187,11 @@
     fn trim_suspects(&mut self) {
         while self.suspects.len() > MAX_SUSPECTS {
             let suspects = self.suspects.iter().enumerate();
-            let Some((oldest, _)) = suspects.min_by_key(|(_, s)| s.last_death()) else {
+            let weakest = suspects.min_by_key(|(_, s)| (s.deaths.len(), s.last_death()));
+            let Some((weakest, _)) = weakest else {
                 return;
             };
-            self.suspects.remove(oldest);
+            self.suspects.remove(weakest);
         }
     }
 
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -132,6 +132,24 @@
     assert!(quarantine.is_refused(&[new_part], now + ms(2_000)));
 }
 
+/// A loss of many targets puts hundreds of parts under suspicion, which must not displace the
+/// one that crashes targets again and again.
+#[test]
+fn refused_part_is_kept_among_many_suspects() {
+    let mut quarantine = Quarantine::default();
+    let start = Instant::now();
+    for i in 0..3 {
+        let at = start + ms(200) * u32::from(i);
+        quarantine.record_death(death(i, at), &[BAD], at);
+    }
+    let later = start + ms(1_000);
+    for i in 0..300 {
+        let parts: Vec<u64> = (0..16).map(|p| 1_000 + 16 * u64::from(i) + p).collect();
+        quarantine.record_death(death(10 + i, later), &parts, later);
+    }
+    assert!(quarantine.is_refused(&[BAD], later));
+}
+
 /// Millions of parts pass a gateway; those that it remembers must not fill its memory, and
 /// forgetting may not refuse sound ones.
 #[test]
