--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -270,7 +270,7 @@
     }
 
     /// Ends the process of the target and starts it again after [`RESTART_TIME`].
-    fn crash(&self) {
+    pub fn crash(&self) {
         self.engine.lock().crashes += 1;
         if self.is_away.send_replace(true) {
             return;
--- a/standins/tests/soak_platform.rs
+++ b/standins/tests/soak_platform.rs
@@ -1,8 +1,8 @@
 //! Randomized soak test of gateway and host processes on the simulated users' platform.
 //!
 //! While callers send requests, processes are stopped, killed, paused, reloaded and
-//! restarted, targets misbehave, the store rejects calls of single VMs and versions are
-//! released; these faults overlap. The test checks the responses that callers receive and
+//! restarted, targets misbehave and crash, the store rejects calls of single VMs or never
+//! answers calls of one kind, and versions are released; these faults overlap. The test checks the responses that callers receive and
 //! the requests that targets receive. `SOAK_SEEDS=1-16` selects the seeds, at most sixteen
 //! per run because each uses addresses of its own. `SOAK_SECONDS` sets how long faults are
 //! injected for each seed.
@@ -135,7 +135,7 @@
     async fn inject_fault(&self, rng: &mut StdRng, nodes: &mut [Node], version: &mut u64) {
         let index = rng.random_range(0..nodes.len());
         let (role, vm) = (nodes[index].role, nodes[index].vm);
-        match rng.random_range(0..8) {
+        match rng.random_range(0..10) {
             0 => {
                 nodes[index].process.kill();
                 nodes[index] = self.start_node(role, vm);
@@ -166,6 +166,12 @@
                 let behavior = behaviors[rng.random_range(0..behaviors.len())].clone();
                 self.desks[rng.random_range(0..self.desks.len())].set_behavior(behavior);
             }
+            7 => {
+                let kinds = ["config", "servers", "versions"];
+                self.store
+                    .ignore_calls(kinds[rng.random_range(0..kinds.len())]);
+            }
+            8 => self.engines[rng.random_range(0..self.engines.len())].crash(),
             _ => {
                 let last = rng.random_range(2..9);
                 let engine = rng.random_range(0..self.engines.len());
@@ -181,6 +187,7 @@
     /// Ends the faults of the store and the targets.
     fn clear_faults(&self) {
         self.store.accept_all();
+        self.store.answer_all();
         self.desks
             .iter()
             .for_each(|d| d.set_behavior(Behavior::Respond("ok")));
