Log the fingerprint of requests that broke or are refused

The line of a finished request now names the request's own fingerprint in the same cases, and both when it is refused as crashing targets.

Measured: builds; no behaviour changes.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -47,6 +47,8 @@
     tokens: (u32, u32),
     /// Hashes of the prompt's shared parts.
     parts: Vec<u64>,
+    /// Hash of what is the same when the caller sends the request again.
+    fingerprint: u64,
     /// When the last bytes were sent to the caller.
     last_sent: Option<Instant>,
     /// Time to the first bytes of the response.
@@ -71,6 +73,7 @@
             resumed: 0,
             tokens: (0, 0),
             parts: Vec::new(),
+            fingerprint: 0,
             last_sent: None,
             time_to_first: Duration::ZERO,
             max_pause: Duration::ZERO,
@@ -102,12 +105,13 @@
         if self.last_sent.is_some() {
             histogram!("corianderramp_gateway_first_seconds").record(self.time_to_first);
         }
-        // Targets that die together are traced by the prompt parts of their requests.
-        let parts = if self.trace.reason.is_empty() {
-            String::new()
-        } else {
+        // Targets that die together are traced by what their requests have in common.
+        let is_traced = !self.trace.reason.is_empty() || self.outcome == CRASHES_TARGETS.outcome;
+        let (parts, fingerprint) = if is_traced {
             let parts: Vec<String> = self.parts.iter().map(|p| format!("{p:016x}")).collect();
-            parts.join(",")
+            (parts.join(","), format!("{:016x}", self.fingerprint))
+        } else {
+            (String::new(), String::new())
         };
         info!(
             id = self.id.as_str(),
@@ -125,6 +129,7 @@
             resumed = self.resumed,
             reason = self.trace.reason,
             parts = parts.as_str(),
+            fingerprint = fingerprint.as_str(),
             config = self.config_version;
             "request finished"
         );
@@ -260,7 +265,8 @@
         };
         call.fingerprints
             .clone_from(&call.caller_headers.shared_parts);
-        call.fingerprints.push(call.request_fingerprint());
+        record.fingerprint = call.request_fingerprint();
+        call.fingerprints.push(record.fingerprint);
         Ok(call)
     }
 
