Show that a request crashes plain targets without end

Stand-ins crash by a request's path, break what is in progress, come back with a new id or the same one, and answer 421 to requests for another id.

--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use corianderramp::digest::Digest;
@@ -29,7 +29,10 @@
 /// Name of the service whose targets are model engines.
 const ENGINE_SERVICE: &str = "llm";
 
-/// Time for which a crashed target is away.
+/// Time that a target works on a request of a plain service.
+pub const WORK_TIME: Duration = Duration::from_millis(40);
+
+/// Time for which a crashed target is away, unless the test sets another one.
 pub const RESTART_TIME: Duration = Duration::from_millis(600);
 
 /// How a target handles requests.
@@ -52,6 +55,9 @@
     /// Streams all events, but crashes when it begins to answer a request whose prompt has
     /// this part. The connections to it then break, and it is back after [`RESTART_TIME`].
     CrashOn(&'static str),
+    /// Works for [`WORK_TIME`] and then responds with status 200, or crashes if the request's
+    /// path contains this text. A crash breaks all requests in progress.
+    CrashOnPath(&'static str),
     /// Never responds.
     Hang,
 }
@@ -67,6 +73,8 @@
     pub body: Bytes,
     /// Whether the target ran it.
     pub ran: bool,
+    /// When it arrived.
+    pub at: Instant,
 }
 
 /// Engine state of a target.
@@ -81,7 +89,9 @@
 /// Simulated target with scripted behavior.
 #[derive(Clone, Debug)]
 pub struct Target {
-    id: &'static str,
+    /// Id of the current lifetime.
+    id: Arc<Mutex<String>>,
+    restart_time: Arc<Mutex<Duration>>,
     behavior: Arc<Mutex<Behavior>>,
     received: Arc<Mutex<Vec<Received>>>,
     engine: Arc<Mutex<Engine>>,
@@ -102,7 +112,8 @@
             ..Engine::default()
         };
         let target = Self {
-            id,
+            id: Arc::new(Mutex::new(id.to_owned())),
+            restart_time: Arc::new(Mutex::new(RESTART_TIME)),
             behavior: Arc::new(Mutex::new(behavior)),
             received: Arc::default(),
             engine: Arc::new(Mutex::new(engine)),
@@ -123,6 +134,23 @@
         self.received.lock().clone()
     }
 
+    /// Sets the id of the next lifetime; requests that expect another one are rejected.
+    pub fn set_id(&self, id: &str) {
+        id.clone_into(&mut self.id.lock());
+    }
+
+    /// Sets for how long the target is away after a crash.
+    pub fn set_restart_time(&self, time: Duration) {
+        *self.restart_time.lock() = time;
+    }
+
+    /// Waits until the target is back after its next crash.
+    pub async fn wait_for_restart(&self) {
+        let mut is_away = self.is_away.subscribe();
+        let _ = is_away.wait_for(|away| *away).await;
+        let _ = is_away.wait_for(|away| !*away).await;
+    }
+
     /// Changes how the target handles requests.
     pub fn set_behavior(&self, behavior: Behavior) {
         *self.behavior.lock() = behavior;
@@ -187,14 +215,24 @@
         let id = parts.headers.get("x-corianderramp-request-id").cloned();
         let last_event = parts.headers.get("last-event-id").cloned();
         let prompt = parts.headers.get("x-corianderramp-prompt-prefix").cloned();
+        let expected = parts.headers.get("x-corianderramp-expect-instance");
+        let own_id = self.id.lock().clone();
+        if expected.is_some_and(|e| e.as_bytes() != own_id.as_bytes()) {
+            return Ok(full_response(StatusCode::MISDIRECTED_REQUEST, ""));
+        }
+        let path = parts.uri.path().to_owned();
         let behavior = self.behavior.lock().clone();
         self.received.lock().push(Received {
             uri: parts.uri,
             headers: parts.headers,
             body: data,
             ran: behavior != Behavior::Decline,
+            at: Instant::now(),
         });
-        let mut response = self.respond(&behavior, last_event, prompt).await?;
+        let mut response = match behavior {
+            Behavior::CrashOnPath(text) => self.work(path.contains(text)).await?,
+            _ => self.respond(&behavior, last_event, prompt).await?,
+        };
         let headers = response.headers_mut();
         if let Some(id) = id {
             headers.insert("x-corianderramp-request-id", id);
@@ -207,7 +245,7 @@
         }
         headers.insert(
             "x-corianderramp-server-stamp",
-            http::HeaderValue::from_static(self.id),
+            http::HeaderValue::from_str(&own_id).map_err(|_| connection_reset())?,
         );
         Ok(response)
     }
@@ -228,6 +266,7 @@
                 }
                 Ok(Response::new(self.paced_events(1..=10)))
             }
+            Behavior::CrashOnPath(_) => self.work(false).await,
             Behavior::Respond(text) => Ok(full_response(StatusCode::OK, *text)),
             Behavior::WrongRequestId => Ok(full_response(StatusCode::OK, "for somebody else")),
             Behavior::Decline => {
@@ -269,15 +308,30 @@
         }
     }
 
-    /// Ends the process of the target and starts it again after [`RESTART_TIME`].
+    /// Works on a request of a plain service, which may crash the target.
+    async fn work(&self, is_fatal: bool) -> Result<HttpResponse, Error> {
+        let crashes = self.crashes();
+        time::sleep(WORK_TIME).await;
+        if self.crashes() != crashes {
+            return Err(connection_reset());
+        }
+        if is_fatal {
+            self.crash();
+            return Err(connection_reset());
+        }
+        Ok(full_response(StatusCode::OK, "done"))
+    }
+
+    /// Ends the process of the target and starts it again later.
     pub fn crash(&self) {
         self.engine.lock().crashes += 1;
         if self.is_away.send_replace(true) {
             return;
         }
         let is_away = self.is_away.clone();
+        let restart_time = *self.restart_time.lock();
         tokio::spawn(async move {
-            time::sleep(RESTART_TIME).await;
+            time::sleep(restart_time).await;
             is_away.send_replace(false);
         });
     }
--- /dev/null
+++ b/standins/tests/crashing_request.rs
@@ -0,0 +1,230 @@
+//! A request crashes each target of a plain service that runs it, and comes again at all
+//! gateways.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http::{Method, StatusCode};
+use rand::RngExt;
+use serde_json::json;
+use standins::users::{self, Behavior, Target};
+use tokio::time;
+
+use users_fleet::{Fleet, TIMEOUT, call, request};
+
+#[path = "support/users_fleet.rs"]
+mod users_fleet;
+
+/// Text in the path of the request that crashes targets.
+const BAD: &str = "bad";
+/// Crashes after which the users allow [`MAX_ARRIVALS`] more arrivals, once [`NOTICE_TIME`]
+/// has passed.
+const MAX_CRASHES: usize = 3;
+const NOTICE_TIME: Duration = Duration::from_secs(3);
+const MAX_ARRIVALS: usize = 3;
+/// Pause between two requests that crash targets.
+const BAD_INTERVAL: Duration = Duration::from_millis(900);
+
+/// How targets come back after a crash.
+#[derive(Clone, Copy)]
+enum Restart {
+    /// Under the id that they had.
+    SameId,
+    /// Under a new id, at the same address.
+    NewId,
+}
+
+struct Deployment {
+    fleet: Fleet,
+    targets: Vec<Target>,
+    gateways: Vec<SocketAddr>,
+}
+
+impl Deployment {
+    /// Starts two engines with hosts, `count` plain targets and six gateways that serve.
+    async fn start(index: u8, count: u8, restart: Restart, away: Duration) -> Self {
+        let fleet = Fleet::start(index).await;
+        for vm in 10..12 {
+            fleet.target(vm, "llm", 1, Behavior::Stream(1, 10)).await;
+            fleet.host(vm);
+        }
+        let mut targets = Vec::new();
+        for vm in 12..12 + count {
+            let behavior = Behavior::CrashOnPath(BAD);
+            let target = fleet.target(vm, "desk", 0, behavior).await;
+            target.set_restart_time(away);
+            let address = fleet.net.address(vm, 9000);
+            register_restarts(&fleet, target.clone(), vm, address, restart);
+            targets.push(target);
+        }
+        let gateways = (24..30).map(|vm| fleet.gateway(vm)).collect();
+        let deployment = Self {
+            fleet,
+            targets,
+            gateways,
+        };
+        deployment.wait_until_served().await;
+        deployment
+    }
+
+    /// Waits until each gateway serves a request that comes only once.
+    async fn wait_until_served(&self) {
+        for (i, gateway) in self.gateways.iter().enumerate() {
+            let serve = async {
+                for attempt in 0_u32.. {
+                    let path = format!("/check/warm-{i}-{attempt}");
+                    if status(*gateway, Method::GET, &path).await == Some(StatusCode::OK) {
+                        return;
+                    }
+                    time::sleep(Duration::from_millis(50)).await;
+                }
+            };
+            let served = time::timeout(TIMEOUT, serve).await;
+            assert!(served.is_ok(), "gateway {i} does not serve");
+        }
+    }
+
+    /// Sends the bad request to gateways drawn at random for `duration`.
+    async fn send_bad(&self, method: Method, path: &str, duration: Duration) {
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            let gateway = self.gateways[rand::rng().random_range(0..self.gateways.len())];
+            let answer = status(gateway, method.clone(), path).await;
+            assert_ne!(answer, Some(StatusCode::OK));
+            time::sleep(BAD_INTERVAL).await;
+        }
+    }
+
+    /// Arrival times of bad requests at targets, in order.
+    fn bad_arrivals(&self) -> Vec<Instant> {
+        let received = self.targets.iter().flat_map(Target::received);
+        let bad = received.filter(|r| r.uri.path().contains(BAD));
+        let mut times: Vec<Instant> = bad.map(|r| r.at).collect();
+        times.sort_unstable();
+        times
+    }
+
+    fn crashes(&self) -> u64 {
+        self.targets.iter().map(Target::crashes).sum()
+    }
+
+    /// Asserts that the bad request was kept from targets soon after the third crash.
+    fn assert_contained(&self) {
+        let arrivals = self.bad_arrivals();
+        assert!(arrivals.len() >= MAX_CRASHES, "{} arrivals", arrivals.len());
+        let limit = arrivals[MAX_CRASHES - 1] + users::WORK_TIME + NOTICE_TIME;
+        let late = arrivals.iter().filter(|at| **at > limit).count();
+        let crashes = self.crashes();
+        assert!(
+            late <= MAX_ARRIVALS,
+            "{late} late arrivals, {crashes} crashes"
+        );
+    }
+}
+
+/// Registers the target again each time that it is back after a crash.
+fn register_restarts(fleet: &Fleet, target: Target, vm: u8, address: SocketAddr, restart: Restart) {
+    let store = fleet.store.clone();
+    tokio::spawn(async move {
+        let mut id = format!("i-{vm}");
+        for lifetime in 2_u64.. {
+            target.wait_for_restart().await;
+            let mut spec = users::target_spec("desk", address, 0);
+            spec["born"] = json!(lifetime);
+            if matches!(restart, Restart::NewId) {
+                store.remove("servers", &id);
+                id = format!("i-{vm}-{lifetime}");
+                target.set_id(&id);
+            }
+            store.put("servers", &id, spec);
+        }
+    });
+}
+
+/// Status of the response; `None` if it is not complete.
+async fn status(gateway: SocketAddr, method: Method, path: &str) -> Option<StatusCode> {
+    let id = format!("{:016x}", rand::rng().random::<u64>());
+    let response = call(gateway, request(method, path, &id)).await.ok()?;
+    Some(response.status())
+}
+
+/// Targets of a plain service ended again and again, 12 in a minute, each time that they were
+/// back: the request that crashed them was refused by nobody, and was sent twice each time.
+#[tokio::test]
+async fn request_that_crashed_plain_targets_reaches_no_more() {
+    let away = Duration::from_millis(1_400);
+    let deployment = Deployment::start(4, 3, Restart::NewId, away).await;
+    let duration = Duration::from_secs(15);
+    deployment
+        .send_bad(Method::GET, "/check/bad", duration)
+        .await;
+    deployment.assert_contained();
+    deployment.wait_until_served().await;
+}
+
+/// The same on a route that is not retried, with targets that keep their ids.
+#[tokio::test]
+async fn unsafe_request_that_crashed_plain_targets_reaches_no_more() {
+    let away = Duration::from_secs(3);
+    let deployment = Deployment::start(5, 3, Restart::SameId, away).await;
+    let duration = Duration::from_secs(15);
+    deployment
+        .send_bad(Method::POST, "/book/bad", duration)
+        .await;
+    deployment.assert_contained();
+    deployment.wait_until_served().await;
+}
+
+/// A gateway that starts after the crashes knows nothing of them, and would crash as many
+/// targets again.
+#[tokio::test]
+async fn gateway_that_starts_later_refuses_request_that_crashed_plain_targets() {
+    let away = Duration::from_millis(600);
+    let mut deployment = Deployment::start(6, 3, Restart::NewId, away).await;
+    let duration = Duration::from_secs(6);
+    deployment
+        .send_bad(Method::GET, "/check/bad", duration)
+        .await;
+    time::sleep(NOTICE_TIME).await;
+    let before = deployment.bad_arrivals().len();
+    deployment.gateways = vec![deployment.fleet.gateway(31)];
+    deployment.wait_until_served().await;
+    time::sleep(NOTICE_TIME).await;
+    deployment
+        .send_bad(Method::GET, "/check/bad", duration)
+        .await;
+    let arrivals = deployment.bad_arrivals().len() - before;
+    assert!(arrivals <= MAX_ARRIVALS, "{arrivals} more requests");
+}
+
+/// Targets that end for another reason take requests along that come often and are sound;
+/// those must not be refused afterwards.
+#[tokio::test]
+async fn popular_request_is_served_after_plain_targets_died_beside_it() {
+    let away = Duration::from_millis(600);
+    let deployment = Deployment::start(7, 8, Restart::NewId, away).await;
+    let load = async {
+        let end = Instant::now() + Duration::from_secs(5);
+        let clients = deployment.gateways.iter().map(async |gateway| {
+            while Instant::now() < end {
+                status(*gateway, Method::GET, "/check/popular").await;
+            }
+        });
+        futures_util::future::join_all(clients).await;
+    };
+    let ends = async {
+        time::sleep(Duration::from_millis(500)).await;
+        for target in &deployment.targets {
+            target.crash();
+            time::sleep(Duration::from_millis(300)).await;
+        }
+    };
+    tokio::join!(load, ends);
+    time::sleep(Duration::from_secs(1)).await;
+    for (i, gateway) in deployment.gateways.iter().enumerate() {
+        let answer = status(*gateway, Method::GET, "/check/popular").await;
+        assert_eq!(answer, Some(StatusCode::OK), "gateway {i}");
+    }
+}
