Refuse requests that crash targets of plain services

Cause: one request came again at all gateways. Gateways reported broken requests to the host beside the target only, plain services have none, and each broken request of a safe route was sent to a second target.

Ruled out: the quarantine missing deaths that come close together or under new ids (no log line says that any reached it).

Change: a gateway whose connection to a plain target broke finds out itself whether the target died: two refused connections 100 ms apart, or a later registration within 5 s. It tells two hosts, which tell all gateways, also later ones; complete answers of plain services count as sound. Deaths have one identifier at all gateways.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::node::stop::Signals;
 use crate::node::{Error, ListenSnafu, MissingSnafu, SharedCatalog, metrics_listener};
 use crate::place::backoff::RefusalRate;
+use crate::place::death::Inquiries;
 use crate::place::pool::Pool;
 use crate::place::quarantine::Quarantine;
 use crate::shared_state::Phase;
@@ -54,6 +55,7 @@
     retry_budget: Mutex<retry::Budget>,
     refusals: Mutex<RefusalRate>,
     quarantine: Mutex<Quarantine>,
+    inquiries: Mutex<Inquiries>,
     bounds: crate::node::settings::Bounds,
     /// Cancelled at the start of the shutdown.
     stopping: CancellationToken,
@@ -97,6 +99,7 @@
         retry_budget: Mutex::new(retry::Budget::new(now)),
         refusals: Mutex::new(RefusalRate::new(now)),
         quarantine: Mutex::default(),
+        inquiries: Mutex::default(),
         bounds: settings.bounds.clone(),
         stopping: CancellationToken::new(),
         closing: CancellationToken::new(),
--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -70,6 +70,11 @@
         self.next_id.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Address from which this gateway sends; `None` if the socket fails.
+    pub(super) fn own_address(&self) -> Option<SocketAddr> {
+        self.socket.local_addr().ok()
+    }
+
     fn agent_address(&self, target: SocketAddr) -> SocketAddr {
         SocketAddr::new(target.ip(), self.port)
     }
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -45,6 +45,15 @@
 
 impl std::error::Error for Interrupted {}
 
+/// Why a response body is not complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyError {
+    /// The connection broke.
+    Broke,
+    /// The body is too large or did not arrive in time.
+    Abandoned,
+}
+
 /// Reads the complete body of a plain service's response.
 ///
 /// # Errors
@@ -52,11 +61,12 @@
 pub async fn read_body<C: Clock>(
     response: &mut TargetResponse<C>,
     timeout: Duration,
-) -> Result<Bytes, Interrupted> {
+) -> Result<Bytes, BodyError> {
     let read = Limited::new(&mut response.body, MAX_BODY_BYTES).collect();
     match time::timeout(timeout, read).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(_)) | Err(_) => Err(Interrupted),
+        Ok(Err(e)) if e.is::<hyper::Error>() => Err(BodyError::Broke),
+        Ok(Err(_)) | Err(_) => Err(BodyError::Abandoned),
     }
 }
 
@@ -193,8 +203,7 @@
             && self.reads < PROVEN_READS
             && [BROKE, ENDED_EARLY].contains(&reason)
         {
-            self.gateway
-                .report_broken(&self.call, response.slot.address);
+            self.gateway.report_broken(&self.call, &response.slot);
         }
     }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -122,6 +122,8 @@
 pub enum PlacementError {
     /// All targets that were asked are full.
     Full,
+    /// The request crashes targets.
+    CrashesTargets,
     /// No target serves the request now, or the last attempt can't be retried.
     NoTarget,
 }
@@ -274,7 +276,7 @@
     /// Sends a request to the target of `slot`. `last_event` is the id of the last event that
     /// the caller has, when a stream is continued.
     pub(super) async fn send(
-        &self,
+        self: &Arc<Self>,
         call: &Call,
         slot: SlotGuard<C>,
         trace: &mut Trace,
@@ -321,7 +323,7 @@
                 let reason = e.to_string();
                 debug!(reason = reason.as_str(); "request to target failed");
                 slot.record_result(false);
-                self.report_broken(call, slot.address);
+                self.report_broken(call, &slot);
                 return Err(SendError::MayHaveRun("connection broke"));
             }
             Err(_) => {
@@ -394,6 +396,10 @@
     ) -> Result<TargetResponse<C>, PlacementError> {
         loop {
             let slot = self.acquire_slot(call, trace).await?;
+            // Another gateway may have seen a target die while this request waited for a slot.
+            if self.is_quarantined(call) {
+                return Err(PlacementError::CrashesTargets);
+            }
             let sent = self.send(call, slot, trace, last_event).await;
             let result = match &sent {
                 Ok(_) => "answered",
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -1,19 +1,33 @@
 //! Exchanges with hosts which prompt parts and requests crash targets and which proved sound.
-//! Both count as parts here.
+//! Both count as parts here. A host confirms the death of an engine beside it; of a plain
+//! service's target the gateway finds out itself and tells hosts, which pass it on.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use log::{info, warn};
+use metrics::counter;
+use tokio::time;
 
 use crate::clock::Clock;
 use crate::gateway::Gateway;
 use crate::gateway::attempt::Call;
+use crate::gateway::guard::SlotGuard;
+use crate::net;
 use crate::node::message::{Body, CrashReport, SoundParts, TargetDeath};
+use crate::place::death::{Inquiry, Lifetime, Probe, Verdict};
 use crate::place::quarantine::Death;
+use crate::place::witness;
 
 /// Number of times that a report is sent; datagrams can be lost.
 const REPORT_COPIES: usize = 2;
+/// Timeout for a connection that only shows whether a target lives.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Pause between two probes of a target.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
+/// Time in which a target that died and is already back has registered its new lifetime.
+const SUCCESSOR_TIMEOUT: Duration = Duration::from_secs(5);
 
 impl<C: Clock> Gateway<C> {
     /// Returns whether a request is refused because a part of it crashes targets.
@@ -22,20 +36,84 @@
         self.quarantine.lock().is_refused(&call.fingerprints, now)
     }
 
-    /// Tells the host of `target` that the connection broke during a request there.
-    pub(super) fn report_broken(&self, call: &Call, target: SocketAddr) {
-        if !call.has_engine() {
-            return;
-        }
+    /// Handles a connection to a target that broke during a request: the request may have
+    /// crashed it.
+    pub(super) fn report_broken(self: &Arc<Self>, call: &Call, slot: &SlotGuard<C>) {
         let now = self.clock.now();
         let parts = self.quarantine.lock().unproven(&call.fingerprints, now);
         if parts.is_empty() {
             return;
         }
+        if call.has_engine() {
+            self.send_copies(slot.address, &Body::CrashReport(CrashReport { parts }));
+            return;
+        }
+        let pool = self.pool.lock();
+        let lifetime = pool.get(slot.key).and_then(|e| Lifetime::of(&e.target));
+        drop(pool);
+        let Some(lifetime) = lifetime else {
+            return;
+        };
+        if self.inquiries.lock().add(&lifetime, &parts) {
+            tokio::spawn(self.clone().inquire(lifetime, now));
+        }
+    }
+
+    /// Finds out whether a plain service's target died at `at`, and tells all gateways if so.
+    async fn inquire(self: Arc<Self>, lifetime: Lifetime, at: Instant) {
+        let is_dead = self.is_dead(&lifetime).await;
+        let parts = self.inquiries.lock().end(&lifetime);
+        let now = self.clock.now();
+        let quarantine = self.quarantine.lock();
+        let parts = quarantine.unproven(&parts, now);
+        if !is_dead || parts.is_empty() {
+            return;
+        }
+        let id = quarantine.death_id(lifetime.fingerprint(), at);
+        drop(quarantine);
+        counter!("corianderramp_gateway_target_deaths_total").increment(1);
+        let target = lifetime.address();
+        warn!(target:% = target, death = id, parts = format_parts(&parts).as_str(); "target died during requests");
+        let message = TargetDeath {
+            id,
+            age_ms: u64::try_from(now.saturating_duration_since(at).as_millis())
+                .unwrap_or(u64::MAX),
+            parts,
+        };
+        let pool = self.pool.lock();
+        let witnesses = witness::choose(&pool, target, &self.data_center, now);
+        drop(pool);
+        for host in &witnesses {
+            self.send_copies(*host, &Body::TargetDeath(message.clone()));
+        }
+        let reporter = witnesses.first().copied().or(self.agents.own_address());
+        if let Some(reporter) = reporter {
+            self.record_death(reporter, &message);
+        }
+    }
+
+    async fn is_dead(&self, lifetime: &Lifetime) -> bool {
+        let mut inquiry = Inquiry::default();
+        loop {
+            let probe = match net::connect(lifetime.address(), PROBE_TIMEOUT).await {
+                Ok(_) => Probe::Accepted,
+                Err(e) if e.is_refused() => Probe::Refused,
+                Err(_) => Probe::Silent,
+            };
+            match inquiry.record(probe) {
+                Verdict::Dead => return true,
+                Verdict::Unsure => time::sleep(PROBE_PAUSE).await,
+                Verdict::Alive => break,
+            }
+        }
+        let mut snapshots = self.catalog.subscribe();
+        let successor = snapshots.wait_for(|catalog| lifetime.has_successor(catalog));
+        matches!(time::timeout(SUCCESSOR_TIMEOUT, successor).await, Ok(Ok(_)))
+    }
+
+    fn send_copies(&self, target: SocketAddr, body: &Body) {
         for _ in 0..REPORT_COPIES {
-            let parts = parts.clone();
-            self.agents
-                .send(target, Body::CrashReport(CrashReport { parts }));
+            self.agents.send(target, body.clone());
         }
     }
 
@@ -52,8 +130,17 @@
         }
     }
 
-    /// Handles the report of a host that its target died.
+    /// Handles the report of a host that a target died.
     pub(super) fn receive_death(&self, from: SocketAddr, message: &TargetDeath) {
+        let sound = self.record_death(from, message);
+        if !sound.is_empty() {
+            let sound = Body::SoundParts(SoundParts { parts: sound });
+            self.agents.send(from, sound);
+        }
+    }
+
+    /// Records the death of a target; returns the parts that this gateway knows to be sound.
+    fn record_death(&self, from: SocketAddr, message: &TargetDeath) -> Vec<u64> {
         let now = self.clock.now();
         let age = Duration::from_millis(message.age_ms);
         let death = Death {
@@ -73,11 +160,7 @@
                 warn!(part = format!("{part:016x}").as_str(); "prompt part refused, it crashes targets");
             }
         }
-        drop(quarantine);
-        if !sound.is_empty() {
-            let sound = Body::SoundParts(SoundParts { parts: sound });
-            self.agents.send(from, sound);
-        }
+        sound
     }
 
     /// Handles the message that parts proved sound at another gateway.
@@ -87,3 +170,9 @@
         let _ = self.quarantine.lock().record_sound(&message.parts, now);
     }
 }
+
+/// Hashes of parts, for logs.
+fn format_parts(parts: &[u64]) -> String {
+    let parts: Vec<String> = parts.iter().map(|p| format!("{p:016x}")).collect();
+    parts.join(",")
+}
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -16,7 +16,7 @@
 use crate::clock::Clock;
 use crate::fleet::{self, Account, routes};
 use crate::gateway::Gateway;
-use crate::gateway::answer::{self, Interrupted, Relay};
+use crate::gateway::answer::{self, BodyError, Interrupted, Relay};
 use crate::gateway::attempt::{self, Call, PlacementError, TargetResponse, Trace};
 use crate::gateway::guard::ActiveRequest;
 use crate::place::backoff::RefusalRate;
@@ -331,16 +331,22 @@
 
     /// Reads a complete response. Fails when its body is interrupted.
     async fn buffer_response(
-        &self,
+        self: &Arc<Self>,
         call: &Call,
         mut response: TargetResponse<C>,
         record: &mut Record<C>,
-    ) -> Result<FullResponse, Interrupted> {
+    ) -> Result<FullResponse, BodyError> {
         let left = call.deadline.saturating_duration_since(self.clock.now());
         let body = answer::read_body(&mut response, left).await;
         let is_success = body.is_ok() && !response.head.status.is_server_error();
         response.slot.record_result(is_success);
+        if body == Err(BodyError::Broke) {
+            self.report_broken(call, &response.slot);
+        }
         let body = body?;
+        if is_success {
+            self.record_sound(call);
+        }
         let mut head = response.head;
         request::prepare_response(&mut head.headers);
         record.status = head.status.as_u16();
@@ -360,6 +366,7 @@
             };
         }
         let outcome = match error {
+            PlacementError::CrashesTargets => return CRASHES_TARGETS,
             PlacementError::Full => "no place",
             PlacementError::NoTarget if trace.sends > 0 => "declined",
             PlacementError::NoTarget => NO_TARGET,
--- a/src/host.rs
+++ b/src/host.rs
@@ -83,6 +83,8 @@
     received: Notify,
     chunks: chunks::ChunkCache,
     deaths: Mutex<deaths::DeathLog>,
+    /// Notified when gateways report a death that others do not know.
+    reported: Notify,
     upload_pacer: Mutex<Pacer>,
     /// Held while a manifest is fetched from the origin.
     manifest_lock: tokio::sync::Mutex<()>,
@@ -139,6 +141,7 @@
         received: Notify::new(),
         chunks: chunks::ChunkCache::default(),
         deaths: Mutex::default(),
+        reported: Notify::new(),
         upload_pacer: Mutex::new(Pacer::new(settings.link_mbps, clock.now())),
         manifest_lock: tokio::sync::Mutex::default(),
         report_client: tokio::sync::Mutex::new(engine::ReportClient::new(target.address)),
@@ -158,6 +161,7 @@
     tokio::spawn(host.clone().receive_datagrams());
     tokio::spawn(host.clone().fetch_versions());
     tokio::spawn(host.clone().announce_chunks());
+    tokio::spawn(host.clone().pass_deaths());
     tokio::spawn(host.clone().load_versions());
     tokio::spawn(serve::run(listener, host.clone()));
     info!(vm = settings.vm.as_str(), role = "host", target:% = target.address; "started");
--- a/src/host/deaths.rs
+++ b/src/host/deaths.rs
@@ -1,14 +1,18 @@
-//! Tells gateways which prompt parts were in progress when the target died.
+//! Tells gateways which prompt parts were in progress when a target died: the one beside this
+//! host, or one without a host whose death gateways report.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use log::warn;
+use log::{info, warn};
 use rand::RngExt;
+use tokio::time;
 
 use crate::clock::Clock;
 use crate::host::Host;
 use crate::node::message::{Body, CrashReport, SoundParts, TargetDeath};
+use crate::place::death::MAX_PARTS;
 use crate::place::quarantine::QUARANTINE_TIME;
 use crate::platform::engine::{self, Report};
 
@@ -18,12 +22,15 @@
 /// Time for which a death is sent again whenever a gateway renews its subscription, since
 /// datagrams can be lost.
 const RESEND_TIME: Duration = Duration::from_secs(3);
-/// Maximum number of deaths that are remembered.
+/// Maximum number of deaths of the target that are remembered.
 const MAX_DEATHS: usize = 16;
-/// Maximum number of parts of a death, which must fit into a datagram.
-const MAX_PARTS: usize = 128;
+/// Maximum number of deaths of other targets that are remembered, 1 KB each with all parts.
+const MAX_REPORTED: usize = 256;
+/// Delay before a reported death is passed on, so that one datagram covers the reports of
+/// several gateways.
+const PASS_DELAY: Duration = Duration::from_millis(20);
 
-/// Death of the target.
+/// Death of a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Death {
     /// Random identifier.
@@ -69,6 +76,10 @@
     reports: Vec<(Instant, Vec<u64>)>,
     /// In order of time.
     deaths: Vec<Death>,
+    /// Deaths of other targets as gateways reported them, in order of arrival.
+    reported: Vec<Death>,
+    /// Identifiers of reported deaths that gateways have not been told of.
+    unpassed: Vec<u64>,
 }
 
 impl DeathLog {
@@ -115,14 +126,41 @@
         Some(death).filter(|d| !d.parts.is_empty())
     }
 
+    /// Records the death of another target; returns whether gateways must be told of it.
+    pub fn record_reported(&mut self, report: &Death) -> bool {
+        let found = self.reported.iter().position(|d| d.id == report.id);
+        let index = found.unwrap_or_else(|| {
+            if self.reported.len() == MAX_REPORTED {
+                self.reported.remove(0);
+            }
+            self.reported.push(Death {
+                parts: Vec::new(),
+                ..report.clone()
+            });
+            self.reported.len() - 1
+        });
+        let is_new = self.reported[index].add(&report.parts);
+        if is_new && !self.unpassed.contains(&report.id) {
+            self.unpassed.push(report.id);
+        }
+        is_new
+    }
+
+    /// Takes the reported deaths that gateways must be told of.
+    pub fn take_unpassed(&mut self) -> Vec<Death> {
+        let ids = std::mem::take(&mut self.unpassed);
+        let deaths = self.reported.iter().filter(|d| ids.contains(&d.id));
+        deaths.cloned().collect()
+    }
+
     /// Removes parts that proved sound from all deaths; returns those that were there.
     pub fn remove_sound(&mut self, parts: &[u64]) -> Vec<u64> {
         let is_known = |part: &&u64| {
-            let mut deaths = self.deaths.iter();
+            let mut deaths = self.deaths.iter().chain(&self.reported);
             deaths.any(|d| d.parts.binary_search(part).is_ok())
         };
         let known: Vec<u64> = parts.iter().filter(is_known).copied().collect();
-        for death in &mut self.deaths {
+        for death in self.deaths.iter_mut().chain(&mut self.reported) {
             death.parts.retain(|p| !known.contains(p));
         }
         known
@@ -132,8 +170,8 @@
     pub fn recent(&self, is_new: bool, now: Instant) -> impl Iterator<Item = &Death> {
         let limit = if is_new { QUARANTINE_TIME } else { RESEND_TIME };
         let is_recent = move |d: &&Death| now.saturating_duration_since(d.at) < limit;
-        let deaths = self.deaths.iter().filter(|d| !d.parts.is_empty());
-        deaths.filter(is_recent)
+        let all = self.deaths.iter().chain(&self.reported);
+        all.filter(|d| !d.parts.is_empty()).filter(is_recent)
     }
 }
 
@@ -161,6 +199,33 @@
         }
     }
 
+    /// Handles a gateway's report of the death of a target without a host.
+    pub(super) fn receive_death(&self, report: &TargetDeath) {
+        let now = self.clock.now();
+        let age = Duration::from_millis(report.age_ms);
+        let death = Death {
+            id: report.id,
+            at: now.checked_sub(age).unwrap_or(now),
+            parts: report.parts.clone(),
+        };
+        if self.deaths.lock().record_reported(&death) {
+            self.reported.notify_one();
+        }
+    }
+
+    /// Passes the deaths that gateways reported on to all others until the process ends.
+    pub(super) async fn pass_deaths(self: Arc<Self>) {
+        loop {
+            self.reported.notified().await;
+            time::sleep(PASS_DELAY).await;
+            let deaths = self.deaths.lock().take_unpassed();
+            for death in deaths {
+                info!(death = death.id, parts = death.parts.len(); "reported death passed on");
+                self.send_to_gateways(&self.death_message(&death));
+            }
+        }
+    }
+
     /// Handles the message of a gateway that parts proved sound, and passes on what is new.
     pub(super) fn receive_sound(&self, sound: &SoundParts) {
         let parts = self.deaths.lock().remove_sound(&sound.parts);
--- a/src/host/deaths_test.rs
+++ b/src/host/deaths_test.rs
@@ -97,3 +97,30 @@
     let death = log.record_poll(Poll::Answered(3), 4, start + ms(2_000));
     assert_eq!(death.unwrap().parts, [7]);
 }
+
+/// Several gateways report the death of a target without a host, each with the requests that
+/// broke there: all must reach all gateways, also those that start later, until they are sound.
+#[test]
+fn reported_deaths_are_passed_on_and_kept() {
+    let mut log = DeathLog::default();
+    let start = Instant::now();
+    let report = |id: u64, parts: &[u64]| Death {
+        id,
+        at: start,
+        parts: parts.to_vec(),
+    };
+    assert!(log.record_reported(&report(1, &[5])));
+    assert!(log.record_reported(&report(1, &[6, 5])));
+    assert!(!log.record_reported(&report(1, &[6])));
+    let passed = log.take_unpassed();
+    assert_eq!(passed, [report(1, &[5, 6])]);
+    assert!(log.take_unpassed().is_empty());
+    let later = start + RESEND_TIME;
+    assert_eq!(log.recent(true, later).count(), 1);
+    assert_eq!(log.remove_sound(&[6]), [6]);
+    assert_eq!(log.recent(true, later).next().unwrap().parts, [5]);
+    for id in 0..2_000 {
+        log.record_reported(&report(id, &[9]));
+    }
+    assert!(log.recent(true, later).count() <= 256);
+}
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -63,7 +63,8 @@
             Body::HeldChunks(held) => self.receive_held(from, held, now),
             Body::CrashReport(report) => self.receive_report(&report),
             Body::SoundParts(sound) => self.receive_sound(&sound),
-            Body::State(_) | Body::SlotReply(_) | Body::TargetDeath(_) => {
+            Body::TargetDeath(death) => self.receive_death(&death),
+            Body::State(_) | Body::SlotReply(_) => {
                 log::debug!(from:% = from; "datagram ignored");
             }
         }
--- a/src/net.rs
+++ b/src/net.rs
@@ -61,6 +61,14 @@
     },
 }
 
+impl Error {
+    /// Whether the peer refused the connection, so that no process listens there.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. } if source.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Connection for sequential requests; dropping it closes the socket.
 #[derive(Debug)]
 pub struct Connection {
--- a/src/place.rs
+++ b/src/place.rs
@@ -2,7 +2,9 @@
 //! a target accepts, and when a refused caller should retry.
 
 pub mod backoff;
+pub mod death;
 pub mod pace;
 pub mod pool;
 pub mod quarantine;
 pub mod slots;
+pub mod witness;
--- a/src/place/quarantine.rs
+++ b/src/place/quarantine.rs
@@ -9,6 +9,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use xxhash_rust::xxh3;
+
 /// Deaths of targets, one after the other, after which a part is refused.
 const MIN_SPACED_DEATHS: usize = 3;
 /// Deaths of targets, also at the same moment, after which a part is refused.
@@ -26,6 +28,8 @@
 const MAX_SUSPECTS: usize = 1_024;
 /// Maximum number of deaths that are remembered for a part.
 const MAX_DEATHS: usize = 16;
+/// Longest time between two reports of the same death. A target takes longer to start again.
+const SAME_DEATH_TIME: Duration = Duration::from_secs(1);
 
 /// Death of a target, as its host reported it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,6 +48,8 @@
     part: u64,
     /// Deaths since the last answer that ended well, in order of time.
     deaths: Vec<Death>,
+    /// Hosts that suspect the part, sorted.
+    reporters: Vec<SocketAddr>,
 }
 
 impl Suspect {
@@ -129,6 +135,25 @@
         unproven.copied().collect()
     }
 
+    /// Identifier of the death at `at` of a target whose lifetime has the hash `lifetime`. It is
+    /// the same at all gateways, and another one if that lifetime is known to have ended before:
+    /// the registration of a target that keeps its id may be older than its last start.
+    #[must_use]
+    pub fn death_id(&self, lifetime: u64, at: Instant) -> u64 {
+        let is_earlier = |id: u64| {
+            let mut deaths = self.suspects.iter().flat_map(|s| &s.deaths);
+            deaths.any(|d| d.id == id && at.saturating_duration_since(d.at) > SAME_DEATH_TIME)
+        };
+        let mut id = lifetime;
+        for _ in 0..MAX_DEATHS {
+            if !is_earlier(id) {
+                break;
+            }
+            id = xxh3::xxh3_64(&id.to_le_bytes());
+        }
+        id
+    }
+
     /// Records that requests with `parts` were in progress at a target when it died. Returns
     /// those that this gateway knows to be sound.
     pub fn record_death(&mut self, death: Death, parts: &[u64], now: Instant) -> Vec<u64> {
@@ -136,10 +161,20 @@
             parts.iter().partition(|part| self.is_sound(**part, now));
         for part in suspected {
             let i = self.find(part).unwrap_or_else(|i| {
-                let deaths = Vec::new();
-                self.suspects.insert(i, Suspect { part, deaths });
+                let suspect = Suspect {
+                    part,
+                    deaths: Vec::new(),
+                    reporters: Vec::new(),
+                };
+                self.suspects.insert(i, suspect);
                 i
             });
+            let reporters = &mut self.suspects[i].reporters;
+            if let Err(position) = reporters.binary_search(&death.reporter)
+                && reporters.len() < MAX_DEATHS
+            {
+                reporters.insert(position, death.reporter);
+            }
             if self.suspects[i].has_death(death.id) {
                 continue;
             }
@@ -165,10 +200,7 @@
             }
             if let Ok(i) = self.find(*part) {
                 let suspect = self.suspects.remove(i);
-                let mut reporters: Vec<_> = suspect.deaths.iter().map(|d| d.reporter).collect();
-                reporters.sort_unstable();
-                reporters.dedup();
-                cleared.extend(reporters.into_iter().map(|r| (r, *part)));
+                cleared.extend(suspect.reporters.into_iter().map(|r| (r, *part)));
             }
         }
         self.trim_sound(now);
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -47,13 +47,7 @@
     /// Whether the engine refused the connection, so that its process does not run.
     #[must_use]
     pub fn is_refused(&self) -> bool {
-        let Self::Net {
-            source: net::Error::Connect { source, .. },
-        } = self
-        else {
-            return false;
-        };
-        source.kind() == std::io::ErrorKind::ConnectionRefused
+        matches!(self, Self::Net { source } if source.is_refused())
     }
 }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -64,7 +64,7 @@
 
 /// All metrics that the processes export. docs/operations/metrics.md says what to do
 /// when one of them changes.
-pub const METRICS: [Metric; 22] = [
+pub const METRICS: [Metric; 23] = [
     Metric {
         name: REQUESTS_TOTAL,
         kind: Type::Counter,
@@ -155,6 +155,12 @@
         labels: &[],
         help: "Time from a request to its end at a gateway",
     },
+    Metric {
+        name: "corianderramp_gateway_target_deaths_total",
+        kind: Type::Counter,
+        labels: &[],
+        help: "Deaths of targets without a host that requests of this gateway may have caused",
+    },
     Metric {
         name: "corianderramp_gateway_sends_total",
         kind: Type::Counter,
--- a/standins/tests/crashing_request.rs
+++ b/standins/tests/crashing_request.rs
@@ -228,3 +228,27 @@
         assert_eq!(answer, Some(StatusCode::OK), "gateway {i}");
     }
 }
+
+/// Targets that reset connections or answer nothing are alive: requests to them must be tried
+/// again, and not be refused as those that crash targets.
+#[tokio::test]
+async fn request_is_not_refused_while_plain_targets_live() {
+    let deployment = Deployment::start(8, 3, Restart::SameId, NOTICE_TIME).await;
+    let behave = |behavior: &Behavior| {
+        for target in &deployment.targets {
+            target.set_behavior(behavior.clone());
+        }
+    };
+    for behavior in [Behavior::CloseConnection, Behavior::Hang] {
+        behave(&behavior);
+        for gateway in &deployment.gateways {
+            let answer = status(*gateway, Method::GET, "/check/sound").await;
+            assert_ne!(answer, Some(StatusCode::OK));
+        }
+    }
+    behave(&Behavior::Respond("sound"));
+    for (i, gateway) in deployment.gateways.iter().enumerate() {
+        let answer = status(*gateway, Method::GET, "/check/sound").await;
+        assert_eq!(answer, Some(StatusCode::OK), "gateway {i}");
+    }
+}
