--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -92,6 +92,8 @@
     /// Id of the current lifetime.
     id: Arc<Mutex<String>>,
     restart_time: Arc<Mutex<Duration>>,
+    /// Rate limit that the target names in its answers.
+    rate_limit: Arc<Mutex<Option<&'static str>>>,
     behavior: Arc<Mutex<Behavior>>,
     received: Arc<Mutex<Vec<Received>>>,
     engine: Arc<Mutex<Engine>>,
@@ -114,6 +116,7 @@
         let target = Self {
             id: Arc::new(Mutex::new(id.to_owned())),
             restart_time: Arc::new(Mutex::new(RESTART_TIME)),
+            rate_limit: Arc::default(),
             behavior: Arc::new(Mutex::new(behavior)),
             received: Arc::default(),
             engine: Arc::new(Mutex::new(engine)),
@@ -144,6 +147,11 @@
         *self.restart_time.lock() = time;
     }
 
+    /// Sets the rate limit that the target names, requests per second; `None` for none.
+    pub fn set_rate_limit(&self, limit: Option<&'static str>) {
+        *self.rate_limit.lock() = limit;
+    }
+
     /// Waits until the target is back after its next crash.
     pub async fn wait_for_restart(&self) {
         let mut is_away = self.is_away.subscribe();
@@ -243,6 +251,9 @@
                 http::HeaderValue::from_static("other"),
             );
         }
+        if let Some(limit) = *self.rate_limit.lock() {
+            headers.insert("server-limit", http::HeaderValue::from_static(limit));
+        }
         headers.insert(
             "x-corianderramp-server-stamp",
             http::HeaderValue::from_str(&own_id).map_err(|_| connection_reset())?,
