Keep the rate limits that targets name, over all gateways together

Cause: nothing read the header in which a target names its limit.

Ruled out: limits kept by each gateway alone would have shown as fewer requests after 8.0 s; retries and resumed streams, of which there were none at these targets.

Change: gateways read the limit from each answer. The host beside an engine gives out permits with its slots, a witness host those of plain targets, so that the limit holds for all gateways together. Targets without room are passed by; if all are, the request is refused at once with the time until there is room. Only an answer to a request that was sent after the limit was named can end it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::node::{Error, ListenSnafu, MissingSnafu, SharedCatalog, metrics_listener};
 use crate::place::backoff::RefusalRate;
 use crate::place::death::Inquiries;
+use crate::place::limit::Limits;
 use crate::place::pool::Pool;
 use crate::place::quarantine::Quarantine;
 use crate::shared_state::Phase;
@@ -32,6 +33,7 @@
 mod events;
 mod guard;
 mod handle;
+mod limits;
 mod probe;
 mod server;
 
@@ -56,6 +58,8 @@
     refusals: Mutex<RefusalRate>,
     quarantine: Mutex<Quarantine>,
     inquiries: Mutex<Inquiries>,
+    /// Permits for targets about which no host decides.
+    limits: Mutex<Limits>,
     bounds: crate::node::settings::Bounds,
     /// Cancelled at the start of the shutdown.
     stopping: CancellationToken,
@@ -100,6 +104,7 @@
         refusals: Mutex::new(RefusalRate::new(now)),
         quarantine: Mutex::default(),
         inquiries: Mutex::default(),
+        limits: Mutex::default(),
         bounds: settings.bounds.clone(),
         stopping: CancellationToken::new(),
         closing: CancellationToken::new(),
--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -13,7 +13,10 @@
 
 use crate::clock::Clock;
 use crate::gateway::Gateway;
-use crate::node::message::{self, Body, SlotRelease, SlotReply, SlotRequest, Subscribe};
+use crate::node::message::{
+    self, Body, PermitReply, PermitRequest, RateLimit, SlotRelease, SlotReply, SlotRequest,
+    Subscribe,
+};
 use crate::place::pool::{AgentState, TargetKey};
 
 /// Largest datagram that is read, bytes.
@@ -34,8 +37,45 @@
     /// UDP port of the host agents.
     port: u16,
     next_id: AtomicU64,
-    /// Slot requests without a reply, sorted by request id.
-    pending: Mutex<Vec<(u64, oneshot::Sender<SlotReply>)>>,
+    slots: Pending<SlotReply>,
+    permits: Pending<PermitReply>,
+}
+
+/// Requests without a reply, sorted by request id.
+#[derive(Debug)]
+struct Pending<T>(Mutex<Vec<(u64, oneshot::Sender<T>)>>);
+
+impl<T> Default for Pending<T> {
+    fn default() -> Self {
+        Self(Mutex::default())
+    }
+}
+
+impl<T> Pending<T> {
+    /// Adds a request, or repeats it under the same id.
+    fn add(&self, request_id: u64) -> oneshot::Receiver<T> {
+        let (sender, receiver) = oneshot::channel();
+        let mut pending = self.0.lock();
+        match pending.binary_search_by_key(&request_id, |p| p.0) {
+            Ok(i) => pending[i].1 = sender,
+            Err(i) => pending.insert(i, (request_id, sender)),
+        }
+        receiver
+    }
+
+    /// Removes a request; `None` if its reply came or it was given up.
+    fn take(&self, request_id: u64) -> Option<oneshot::Sender<T>> {
+        let mut pending = self.0.lock();
+        let found = pending.binary_search_by_key(&request_id, |p| p.0);
+        found.ok().map(|i| pending.remove(i).1)
+    }
+
+    fn resolve(&self, request_id: u64, reply: T) {
+        if let Some(sender) = self.take(request_id) {
+            // The receiver is gone if the request timed out meanwhile.
+            let _ = sender.send(reply);
+        }
+    }
 }
 
 /// What a request needs of a slot.
@@ -49,6 +89,10 @@
     pub prompt_tokens: u32,
     /// Whether the host refuses unless the request can run almost at once.
     pub immediate_only: bool,
+    /// What the target said of its rate limit.
+    pub limit: Option<RateLimit>,
+    /// Hash of the target's lifetime.
+    pub lifetime: u64,
 }
 
 impl AgentClient {
@@ -60,7 +104,8 @@
             gateway_id,
             port,
             next_id: AtomicU64::new(1),
-            pending: Mutex::default(),
+            slots: Pending::default(),
+            permits: Pending::default(),
         }
     }
 
@@ -115,33 +160,44 @@
             objective_ms: u32::try_from(objective).unwrap_or(u32::MAX),
             prompt_tokens: criteria.prompt_tokens,
             immediate_only: criteria.immediate_only,
+            limit: criteria.limit,
+            lifetime: criteria.lifetime,
         };
         for _ in 0..MAX_ATTEMPTS {
-            let (sender, receiver) = oneshot::channel();
-            self.add_pending(request_id, sender);
+            let receiver = self.slots.add(request_id);
             self.send(target, Body::SlotRequest(request));
             if let Ok(Ok(reply)) = time::timeout(REPLY_TIMEOUT, receiver).await {
                 return Some(reply);
             }
         }
-        self.take_pending(request_id);
+        self.slots.take(request_id);
         // The reply that granted the slot may have been lost.
         self.release(target, request_id);
         None
     }
 
-    fn add_pending(&self, request_id: u64, sender: oneshot::Sender<SlotReply>) {
-        let mut pending = self.pending.lock();
-        match pending.binary_search_by_key(&request_id, |p| p.0) {
-            Ok(i) => pending[i].1 = sender,
-            Err(i) => pending.insert(i, (request_id, sender)),
+    /// Requests a permit for a target with a rate limit from the host of `keeper`; `None` when
+    /// it does not reply.
+    pub async fn request_permit(
+        &self,
+        keeper: SocketAddr,
+        limit: RateLimit,
+    ) -> Option<PermitReply> {
+        let request_id = self.next_request_id();
+        let request = PermitRequest {
+            gateway_id: self.gateway_id,
+            request_id,
+            limit,
+        };
+        for _ in 0..MAX_ATTEMPTS {
+            let receiver = self.permits.add(request_id);
+            self.send(keeper, Body::PermitRequest(request));
+            if let Ok(Ok(reply)) = time::timeout(REPLY_TIMEOUT, receiver).await {
+                return Some(reply);
+            }
         }
-    }
-
-    fn take_pending(&self, request_id: u64) -> Option<oneshot::Sender<SlotReply>> {
-        let mut pending = self.pending.lock();
-        let found = pending.binary_search_by_key(&request_id, |p| p.0);
-        found.ok().map(|i| pending.remove(i).1)
+        self.permits.take(request_id);
+        None
     }
 }
 
@@ -192,11 +248,12 @@
                     if let Some(state) = &reply.state {
                         self.update_state(from, state);
                     }
-                    if let Some(sender) = self.agents.take_pending(reply.request_id) {
-                        // The receiver is gone if the request timed out meanwhile.
-                        let _ = sender.send(reply);
-                    }
+                    self.agents.slots.resolve(reply.request_id, reply);
+                }
+                Some(Body::PermitReply(reply)) => {
+                    self.agents.permits.resolve(reply.request_id, reply);
                 }
+                Some(Body::RateLimit(limit)) => self.receive_limit(from, &limit),
                 Some(Body::TargetDeath(death)) => self.receive_death(from, &death),
                 Some(Body::SoundParts(sound)) => self.receive_sound(&sound),
                 _ => log::debug!(from:% = from; "datagram ignored"),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,6 +21,8 @@
 use crate::gateway::agents::SlotCriteria;
 use crate::gateway::guard::SlotGuard;
 use crate::net;
+use crate::node::message::RateLimit;
+use crate::place::limit::{Notice, Permit};
 use crate::place::pool::{Requirements, TargetKey};
 use crate::platform::request::{self, CallerHeaders, TargetHeaders};
 
@@ -124,6 +126,8 @@
     Full,
     /// The request crashes targets.
     CrashesTargets,
+    /// The rate limits of all targets leave no room; the time until one does.
+    RateLimited(Duration),
     /// No target serves the request now, or the last attempt can't be retried.
     NoTarget,
 }
@@ -150,6 +154,17 @@
     address: SocketAddr,
     /// Whether a slot must be requested from the agent first.
     needs_grant: bool,
+    /// What the target said of its rate limit.
+    limit: Option<Notice>,
+    /// Hash of the target's lifetime.
+    lifetime: u64,
+}
+
+impl Selection {
+    fn rate_limit(&self, now: Instant) -> Option<RateLimit> {
+        let limit = self.limit?;
+        Some(RateLimit::new(self.lifetime, &limit, now))
+    }
 }
 
 /// Why an attempt got no response.
@@ -198,6 +213,8 @@
             key,
             address: entry.target.address,
             needs_grant: needs.min_version.is_some() && !entry.is_unresponsive(now),
+            limit: entry.limit,
+            lifetime: entry.lifetime,
         })
     }
 
@@ -210,6 +227,7 @@
         let min_version = self.required_version(call, self.clock.now());
         let mut refused: Vec<TargetKey> = trace.tried.clone();
         let mut attempts = 0;
+        let mut denials = 0;
         loop {
             let now = self.clock.now();
             // The last slot request accepts a wait and may go to a target that refused before:
@@ -230,6 +248,9 @@
                     attempts = MAX_SLOT_REQUESTS - 1;
                     continue;
                 }
+                if let Some(wait) = self.pool.lock().limit_wait(&needs, now) {
+                    return Err(PlacementError::RateLimited(wait));
+                }
                 let exists = attempts > 0 || self.pool.lock().can_serve(&needs, now);
                 return Err(if exists {
                     PlacementError::Full
@@ -238,8 +259,21 @@
                 });
             };
             let Selection { key, address, .. } = selection;
+            let limit = selection.rate_limit(now);
             if !selection.needs_grant {
-                return Ok(SlotGuard::begin(self, key, address, None));
+                let Some(limit) = limit.filter(|l| l.rate.is_some()) else {
+                    return Ok(SlotGuard::begin(self, key, address, None));
+                };
+                trace.asks += 1;
+                denials += 1;
+                match self.acquire_permit(address, limit).await {
+                    Permit::Granted => return Ok(SlotGuard::begin(self, key, address, None)),
+                    Permit::Denied(wait) if denials == MAX_SLOT_REQUESTS => {
+                        return Err(PlacementError::RateLimited(wait));
+                    }
+                    Permit::Denied(wait) => self.record_limited(key, wait),
+                }
+                continue;
             }
             if attempts == MAX_SLOT_REQUESTS {
                 return Err(PlacementError::Full);
@@ -252,6 +286,8 @@
                 objective: call.route().objective,
                 prompt_tokens: call.caller_headers.prompt_tokens,
                 immediate_only,
+                limit,
+                lifetime: selection.lifetime,
             };
             let reply = self
                 .agents
@@ -259,6 +295,7 @@
                 .await;
             let verdict = match &reply {
                 Some(reply) if reply.is_granted => "granted",
+                Some(reply) if reply.limit_ms > 0 => "limited",
                 Some(_) => "refused",
                 None => "silent",
             };
@@ -267,12 +304,20 @@
                 Some(reply) if reply.is_granted => {
                     return Ok(SlotGuard::begin(self, key, address, Some(request_id)));
                 }
+                Some(reply) if reply.limit_ms > 0 => {
+                    self.record_limited(key, Duration::from_millis(reply.limit_ms.into()));
+                }
                 Some(_) => refused.push(key),
                 None => self.mark_unresponsive(key, address),
             }
         }
     }
 
+    fn record_limited(&self, key: TargetKey, wait: Duration) {
+        let until = self.clock.now() + wait;
+        self.pool.lock().record_limited(key, until);
+    }
+
     /// Sends a request to the target of `slot`. `last_event` is the id of the last event that
     /// the caller has, when a stream is continued.
     pub(super) async fn send(
@@ -313,6 +358,7 @@
         *message.uri_mut() = call.uri.clone();
         *message.headers_mut() = request::forward(&call.headers, &target_headers);
         trace.sends += 1;
+        let sent = self.clock.now();
         let start_limit = self.start_limit(slot.key, call, now);
         let begin = start_limit.map(|at| at.saturating_duration_since(self.clock.now()));
         let limit = Self::response_timeout(call, trace, left).min(begin.unwrap_or(left));
@@ -335,6 +381,9 @@
             slot.record_result(false);
             return Err(SendError::MayHaveRun("answer to another request"));
         }
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            self.observe_limit(call, slot.key, &head, sent);
+        }
         if head.status == StatusCode::MISDIRECTED_REQUEST || request::not_run(&head.headers) {
             return Err(SendError::NotRun("target declined"));
         }
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -111,7 +111,8 @@
         matches!(time::timeout(SUCCESSOR_TIMEOUT, successor).await, Ok(Ok(_)))
     }
 
-    fn send_copies(&self, target: SocketAddr, body: &Body) {
+    /// Sends a datagram to the host of `target`, more than once since datagrams can be lost.
+    pub(super) fn send_copies(&self, target: SocketAddr, body: &Body) {
         for _ in 0..REPORT_COPIES {
             self.agents.send(target, body.clone());
         }
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -368,6 +368,7 @@
         let outcome = match error {
             PlacementError::CrashesTargets => return CRASHES_TARGETS,
             PlacementError::Full => "no place",
+            PlacementError::RateLimited(_) => "rate limited",
             PlacementError::NoTarget if trace.sends > 0 => "declined",
             PlacementError::NoTarget => NO_TARGET,
         };
@@ -380,6 +381,10 @@
         } else {
             refusals.retry_after(left, draw)
         };
+        let wait = match error {
+            PlacementError::RateLimited(limit) => wait.max(limit),
+            _ => wait,
+        };
         Refusal {
             status: StatusCode::SERVICE_UNAVAILABLE,
             outcome,
--- a/src/host.rs
+++ b/src/host.rs
@@ -23,6 +23,7 @@
 use crate::node::settings::{Bounds, Settings};
 use crate::node::stop::Signals;
 use crate::node::{Error, ListenSnafu, MissingSnafu, SharedCatalog, metrics_listener, relay};
+use crate::place::limit::Limits;
 use crate::place::pace::Pacer;
 use crate::place::slots::SlotTable;
 use crate::platform::engine::{self, Report};
@@ -35,6 +36,7 @@
 mod deaths;
 mod exchange;
 mod fetch;
+mod limits;
 mod places;
 pub mod plan;
 mod serve;
@@ -85,6 +87,8 @@
     deaths: Mutex<deaths::DeathLog>,
     /// Notified when gateways report a death that others do not know.
     reported: Notify,
+    /// Rate limits of this host's target and of those without a host.
+    limits: Mutex<Limits>,
     upload_pacer: Mutex<Pacer>,
     /// Held while a manifest is fetched from the origin.
     manifest_lock: tokio::sync::Mutex<()>,
@@ -142,6 +146,7 @@
         chunks: chunks::ChunkCache::default(),
         deaths: Mutex::default(),
         reported: Notify::new(),
+        limits: Mutex::default(),
         upload_pacer: Mutex::new(Pacer::new(settings.link_mbps, clock.now())),
         manifest_lock: tokio::sync::Mutex::default(),
         report_client: tokio::sync::Mutex::new(engine::ReportClient::new(target.address)),
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -8,8 +8,9 @@
 use tokio::time;
 
 use crate::clock::Clock;
-use crate::host::Host;
+use crate::host::{Host, limits};
 use crate::node::message::{self, Body, SlotReply, State};
+use crate::place::limit::Permit;
 use crate::place::slots::{Decision, GrantId, SlotRequest};
 
 /// Largest datagram that is received, bytes.
@@ -53,6 +54,9 @@
             Body::Subscribe(subscribe) => {
                 let is_new = self.subscribe_gateway(from, subscribe.gateway_id, now);
                 self.send_deaths(from, is_new);
+                if is_new {
+                    self.send_limits(from, now);
+                }
                 self.send(from, Body::State(self.state()));
             }
             Body::SlotRequest(request) => {
@@ -64,28 +68,51 @@
             Body::CrashReport(report) => self.receive_report(&report),
             Body::SoundParts(sound) => self.receive_sound(&sound),
             Body::TargetDeath(death) => self.receive_death(&death),
-            Body::State(_) | Body::SlotReply(_) => {
+            Body::RateLimit(limit) => self.receive_limit(&limit, now),
+            Body::PermitRequest(request) => {
+                let reply = self.decide_permit(&request, now);
+                self.send(from, Body::PermitReply(reply));
+            }
+            Body::State(_) | Body::SlotReply(_) | Body::PermitReply(_) => {
                 log::debug!(from:% = from; "datagram ignored");
             }
         }
     }
 
     fn decide(&self, request: &message::SlotRequest, now: Instant) -> SlotReply {
-        let slot_request = SlotRequest {
-            id: GrantId {
-                gateway_id: request.gateway_id,
+        if let Some(limit) = &request.limit {
+            self.receive_limit(limit, now);
+        }
+        let id = GrantId {
+            gateway_id: request.gateway_id,
+            request_id: request.request_id,
+        };
+        let permit = self.limits.lock().request(request.lifetime, id, now);
+        if let Permit::Denied(wait) = permit {
+            return SlotReply {
                 request_id: request.request_id,
-            },
+                is_granted: false,
+                state: Some(self.state()),
+                limit_ms: limits::wait_millis(wait),
+            };
+        }
+        let slot_request = SlotRequest {
+            id,
             priority: u8::try_from(request.priority).unwrap_or(u8::MAX),
             objective: Duration::from_millis(request.objective_ms.into()),
             prompt_tokens: request.prompt_tokens,
             immediate_only: request.immediate_only,
         };
         let decision = self.slots.lock().request(&slot_request, now);
+        let is_granted = decision == Decision::Granted;
+        if !is_granted {
+            self.limits.lock().cancel(request.lifetime, id);
+        }
         SlotReply {
             request_id: request.request_id,
-            is_granted: decision == Decision::Granted,
+            is_granted,
             state: Some(self.state()),
+            limit_ms: 0,
         }
     }
 
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -1,14 +1,17 @@
 //! Datagrams between gateways and hosts, and among hosts, encoded with Protocol Buffers.
 
+use std::time::{Duration, Instant};
+
 use prost::Message;
 
+use crate::place::limit::Notice;
 use crate::place::slots::GrantId;
 
 /// One datagram.
 #[derive(Clone, PartialEq, Message)]
 pub struct Packet {
     /// Content; `None` for an unknown kind.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<Body>,
 }
 
@@ -42,6 +45,15 @@
     /// Prompt parts that proved sound.
     #[prost(message, tag = "9")]
     SoundParts(SoundParts),
+    /// Rate limit of a target.
+    #[prost(message, tag = "10")]
+    RateLimit(RateLimit),
+    /// Request of a gateway for a permit to send one request to a target with a rate limit.
+    #[prost(message, tag = "11")]
+    PermitRequest(PermitRequest),
+    /// Reply to a permit request.
+    #[prost(message, tag = "12")]
+    PermitReply(PermitReply),
 }
 
 /// Subscription of a gateway to a host's state; the gateway renews it periodically.
@@ -97,6 +109,82 @@
     /// Whether to grant a slot only if the request would start almost at once.
     #[prost(bool, tag = "6")]
     pub immediate_only: bool,
+    /// What the target said of its rate limit, if it ever named one.
+    #[prost(message, optional, tag = "7")]
+    pub limit: Option<RateLimit>,
+    /// Hash of the target's lifetime.
+    #[prost(fixed64, tag = "8")]
+    pub lifetime: u64,
+}
+
+/// What an answer of a target said of its rate limit.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct RateLimit {
+    /// Hash of the target's lifetime.
+    #[prost(fixed64, tag = "1")]
+    pub lifetime: u64,
+    /// Requests per second from all gateways together; `None` for no limit.
+    #[prost(double, optional, tag = "2")]
+    pub rate: Option<f64>,
+    /// Time since the answer began, milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// Time since its request was sent, milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub sent_ms: u64,
+}
+
+impl RateLimit {
+    /// Encodes a notice of the target whose lifetime has the hash `lifetime`.
+    #[must_use]
+    pub fn new(lifetime: u64, notice: &Notice, now: Instant) -> Self {
+        let age = |at| {
+            let age = now.saturating_duration_since(at);
+            u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+        };
+        Self {
+            lifetime,
+            rate: notice.rate,
+            age_ms: age(notice.at),
+            sent_ms: age(notice.sent),
+        }
+    }
+
+    /// Decodes the notice.
+    #[must_use]
+    pub fn notice(&self, now: Instant) -> Notice {
+        let at = |age| now.checked_sub(Duration::from_millis(age)).unwrap_or(now);
+        Notice {
+            rate: self.rate.filter(|r| r.is_finite() && *r >= 0.0),
+            at: at(self.age_ms),
+            sent: at(self.sent_ms),
+        }
+    }
+}
+
+/// Request of a gateway for a permit to send one request to a target with a rate limit.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct PermitRequest {
+    /// Random identifier of the gateway process, new at every start.
+    #[prost(uint64, tag = "1")]
+    pub gateway_id: u64,
+    /// Number of the permit request at its gateway.
+    #[prost(uint64, tag = "2")]
+    pub request_id: u64,
+    /// What the target said of its rate limit.
+    #[prost(message, required, tag = "3")]
+    pub limit: RateLimit,
+}
+
+/// Reply to a permit request.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct PermitReply {
+    /// Number of the permit request at its gateway.
+    #[prost(uint64, tag = "1")]
+    pub request_id: u64,
+    /// Time until the limit leaves room, milliseconds; 0 if the request may be sent now.
+    #[prost(uint32, tag = "2")]
+    pub wait_ms: u32,
 }
 
 /// Reply to a slot request.
@@ -111,6 +199,10 @@
     /// State after the decision.
     #[prost(message, optional, tag = "4")]
     pub state: Option<State>,
+    /// Time until the target's rate limit leaves room, milliseconds; 0 if it is not the reason of
+    /// a refusal.
+    #[prost(uint32, tag = "5")]
+    pub limit_ms: u32,
 }
 
 /// Release of a slot whose request has ended.
--- a/src/place/death.rs
+++ b/src/place/death.rs
@@ -30,15 +30,21 @@
 }
 
 impl Lifetime {
-    /// Current lifetime of a registered target; `None` if it is leaving, so that its end is
-    /// planned.
+    /// Current lifetime of a registered target.
     #[must_use]
-    pub fn of(target: &Target) -> Option<Self> {
-        (target.phase == Phase::Ready).then(|| Self {
+    pub fn new(target: &Target) -> Self {
+        Self {
             id: target.id.clone(),
             address: target.address,
             started: target.started,
-        })
+        }
+    }
+
+    /// Current lifetime of a registered target; `None` if it is leaving, so that its end is
+    /// planned.
+    #[must_use]
+    pub fn of(target: &Target) -> Option<Self> {
+        (target.phase == Phase::Ready).then(|| Self::new(target))
     }
 
     /// Address of the target.
--- a/src/place/pool.rs
+++ b/src/place/pool.rs
@@ -7,6 +7,8 @@
 
 use crate::fleet::catalog::Catalog;
 use crate::fleet::{Phase, Target};
+use crate::place::death::Lifetime;
+use crate::place::limit::Notice;
 
 new_key_type! {
     /// Key of a target in the pool.
@@ -71,6 +73,12 @@
     pub failure_rate: f64,
     /// Until when the target is chosen last.
     pub avoid_until: Option<Instant>,
+    /// Hash of the target's lifetime, the same at all gateways.
+    pub lifetime: u64,
+    /// What the target last said of its rate limit.
+    pub limit: Option<Notice>,
+    /// Until when its rate limit leaves no room for a request.
+    pub limited_until: Option<Instant>,
 }
 
 impl Entry {
@@ -103,6 +111,19 @@
         self.last_timeout.is_some_and(is_recent)
     }
 
+    /// Time until the target's rate limit leaves room for a request; `None` if it does now.
+    #[must_use]
+    pub fn limit_wait(&self, now: Instant) -> Option<Duration> {
+        let wait = self.limited_until?.saturating_duration_since(now);
+        Some(wait).filter(|w| !w.is_zero())
+    }
+
+    /// Newest notice of a limit that is in force.
+    #[must_use]
+    pub fn active_limit(&self) -> Option<Notice> {
+        self.limit.filter(|n| n.rate.is_some())
+    }
+
     fn is_avoided(&self, now: Instant) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
     }
@@ -149,7 +170,13 @@
         self.ids.retain(|(_, key)| self.entries.contains_key(*key));
         for known in &catalog.targets {
             match self.ids.binary_search_by(|(id, _)| id.cmp(&known.name)) {
-                Ok(i) => self.entries[self.ids[i].1].target = known.value.clone(),
+                Ok(i) => {
+                    let entry = &mut self.entries[self.ids[i].1];
+                    if entry.target != known.value {
+                        entry.target = known.value.clone();
+                        entry.lifetime = Lifetime::new(&known.value).fingerprint();
+                    }
+                }
                 Err(i) => {
                     let key = self.entries.insert(Entry {
                         target: known.value.clone(),
@@ -159,6 +186,9 @@
                         failures: 0,
                         failure_rate: 0.0,
                         avoid_until: None,
+                        lifetime: Lifetime::new(&known.value).fingerprint(),
+                        limit: None,
+                        limited_until: None,
                     });
                     self.ids.insert(i, (known.name.clone(), key));
                 }
@@ -200,6 +230,37 @@
         }
     }
 
+    /// Records what a target said of its rate limit. Returns whether the limit changed.
+    pub fn record_limit(&mut self, key: TargetKey, notice: Notice) -> bool {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return false;
+        };
+        if !notice.replaces(entry.limit.as_ref()) {
+            return false;
+        }
+        let before = entry.limit.replace(notice).and_then(|n| n.rate);
+        if notice.rate != before {
+            entry.limited_until = None;
+        }
+        before != notice.rate
+    }
+
+    /// Records that the rate limit of a target leaves no room until `until`.
+    pub fn record_limited(&mut self, key: TargetKey, until: Instant) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.limited_until = Some(until);
+        }
+    }
+
+    /// Returns the key of the target whose lifetime has the hash `lifetime`.
+    #[must_use]
+    pub fn find_lifetime(&self, lifetime: u64) -> Option<TargetKey> {
+        let mut entries = self.entries.iter();
+        entries
+            .find(|(_, e)| e.lifetime == lifetime)
+            .map(|(key, _)| key)
+    }
+
     /// Counts a request that is placed on the target.
     pub fn begin_request(&mut self, key: TargetKey) {
         if let Some(entry) = self.entries.get_mut(key) {
@@ -245,22 +306,32 @@
         mut draw: impl FnMut() -> f64,
     ) -> Option<TargetKey> {
         let usable = self.entries.iter().filter(|(key, e)| {
-            e.target.service == needs.service
-                && e.target.phase == Phase::Ready
+            is_candidate(e, needs)
                 && !needs.excluded.contains(key)
-                && can_take(e, needs, now)
+                && has_room(e, needs, now)
+                && e.limit_wait(now).is_none()
         });
         let costs = usable.map(|(key, e)| (cost(e, needs, now) + draw(), key));
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, key)| key)
     }
 
+    /// Returns the time until a rate limit leaves room for the request at one of the targets that
+    /// are not excluded; `None` unless limits alone keep it from all of them.
+    #[must_use]
+    pub fn limit_wait(&self, needs: &Requirements<'_>, now: Instant) -> Option<Duration> {
+        let candidates = self.entries.iter().filter(|(key, e)| {
+            is_candidate(e, needs) && !needs.excluded.contains(key) && has_room(e, needs, now)
+        });
+        let waits: Option<Vec<Duration>> = candidates.map(|(_, e)| e.limit_wait(now)).collect();
+        waits?.into_iter().min()
+    }
+
     /// Returns whether some ready target of the service has the weights that the request needs.
     #[must_use]
     pub fn can_serve(&self, needs: &Requirements<'_>, now: Instant) -> bool {
         self.entries.values().any(|e| {
-            e.target.service == needs.service
-                && e.target.phase == Phase::Ready
+            is_candidate(e, needs)
                 && needs
                     .min_version
                     .is_none_or(|min| e.weights(now).is_some_and(|v| v >= min))
@@ -268,8 +339,13 @@
     }
 }
 
-/// Whether the target can take a request, as far as the gateway knows.
-fn can_take(entry: &Entry, needs: &Requirements<'_>, now: Instant) -> bool {
+/// Whether the target serves the service and does not leave.
+fn is_candidate(entry: &Entry, needs: &Requirements<'_>) -> bool {
+    entry.target.service == needs.service && entry.target.phase == Phase::Ready
+}
+
+/// Whether the target can take a request, as far as the gateway knows, if its rate limit allows.
+fn has_room(entry: &Entry, needs: &Requirements<'_>, now: Instant) -> bool {
     let Some(min_version) = needs.min_version else {
         return true;
     };
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -23,6 +23,8 @@
 const LENGTH_HINT: HeaderName = HeaderName::from_static("x-corianderramp-length-hint");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-corianderramp-not-run");
+/// Requests per second that the target takes from all gateways together, a decimal number.
+const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -114,6 +116,29 @@
     headers.contains_key(NOT_RUN)
 }
 
+/// Rate limit that a target names in an answer, requests per second; `Some(None)` if it names
+/// none, `None` if the value is malformed.
+///
+/// ```
+/// use corianderramp::platform::request;
+/// use http::HeaderMap;
+///
+/// let mut headers = HeaderMap::new();
+/// assert_eq!(request::rate_limit(&headers), Some(None));
+/// headers.insert("server-limit", "1.3".parse().unwrap());
+/// assert_eq!(request::rate_limit(&headers), Some(Some(1.3)));
+/// headers.insert("server-limit", "few".parse().unwrap());
+/// assert_eq!(request::rate_limit(&headers), None);
+/// ```
+#[must_use]
+pub fn rate_limit(headers: &HeaderMap) -> Option<Option<f64>> {
+    if !headers.contains_key(RATE_LIMIT) {
+        return Some(None);
+    }
+    let rate = number(headers, &RATE_LIMIT).filter(|r: &f64| r.is_finite() && *r >= 0.0);
+    rate.map(Some)
+}
+
 /// Values of the headers that a gateway sets on a request to a target.
 #[derive(Clone, Debug)]
 pub struct TargetHeaders<'a> {
