Let a gateway find out the death of an engine whose host is silent

Until now a request that broke at an engine was reported to the host beside it only; while that host is down, nobody learned of the death. The gateway now inquires itself as for plain services.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -1,6 +1,7 @@
 //! Exchanges with hosts which prompt parts and requests crash targets and which proved sound.
-//! Both count as parts here. A host confirms the death of an engine beside it; of a plain
-//! service's target the gateway finds out itself and tells hosts, which pass it on.
+//! Both count as parts here. A host confirms the death of an engine beside it; for a target
+//! that no host reports on, as those of plain services, the gateway finds out itself and tells
+//! other hosts, which pass it on.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -44,13 +45,15 @@
         if parts.is_empty() {
             return;
         }
-        if call.has_engine() {
+        let pool = self.pool.lock();
+        let entry = pool.get(slot.key);
+        let has_host = call.has_engine() && entry.is_some_and(|e| e.has_agent(now));
+        let lifetime = entry.and_then(|e| Lifetime::of(&e.target));
+        drop(pool);
+        if has_host {
             self.send_copies(slot.address, &Body::CrashReport(CrashReport { parts }));
             return;
         }
-        let pool = self.pool.lock();
-        let lifetime = pool.get(slot.key).and_then(|e| Lifetime::of(&e.target));
-        drop(pool);
         let Some(lifetime) = lifetime else {
             return;
         };
@@ -59,7 +62,7 @@
         }
     }
 
-    /// Finds out whether a plain service's target died at `at`, and tells all gateways if so.
+    /// Finds out whether a target that no host reports on died at `at`, and tells all gateways if so.
     async fn inquire(self: Arc<Self>, lifetime: Lifetime, at: Instant) {
         let is_dead = self.is_dead(&lifetime).await;
         let parts = self.inquiries.lock().end(&lifetime);
