Report deaths again that no host has confirmed

A gateway that reached no host when targets died kept what it had found out to itself: in the logs of a test run the first two deaths, right after the start, were never passed on, and another gateway crashed two more targets. They are now reported again each second until a host sends the death back.

Measured: deaths_seen_without_hosts_are_passed_on_when_hosts_are_back failed before (502 at gateway 1) and passes.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::node::stop::Signals;
 use crate::node::{Error, ListenSnafu, MissingSnafu, SharedCatalog, metrics_listener};
 use crate::place::backoff::RefusalRate;
-use crate::place::death::Inquiries;
+use crate::place::death::{Findings, Inquiries};
 use crate::place::limit::Limits;
 use crate::place::pool::Pool;
 use crate::place::quarantine::Quarantine;
@@ -58,6 +58,7 @@
     refusals: Mutex<RefusalRate>,
     quarantine: Mutex<Quarantine>,
     inquiries: Mutex<Inquiries>,
+    findings: Mutex<Findings>,
     /// Permits for targets about which no host decides.
     limits: Mutex<Limits>,
     bounds: crate::node::settings::Bounds,
@@ -104,6 +105,7 @@
         refusals: Mutex::new(RefusalRate::new(now)),
         quarantine: Mutex::default(),
         inquiries: Mutex::default(),
+        findings: Mutex::default(),
         limits: Mutex::default(),
         bounds: settings.bounds.clone(),
         stopping: CancellationToken::new(),
--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -202,11 +202,13 @@
 }
 
 impl<C: Clock> Gateway<C> {
-    /// Renews the subscription to the hosts of all engines at intervals.
+    /// Renews the subscription to the hosts of all engines at intervals, and reports what they
+    /// have not confirmed.
     pub(super) async fn send_subscriptions(self: Arc<Self>) {
         let mut ticks = time::interval(SUBSCRIBE_INTERVAL);
         loop {
             ticks.tick().await;
+            self.report_findings();
             let subscribe = Body::Subscribe(Subscribe {
                 gateway_id: self.agents.gateway_id,
             });
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -17,8 +17,8 @@
 use crate::gateway::guard::SlotGuard;
 use crate::net;
 use crate::node::message::{Body, CrashReport, SoundParts, TargetDeath};
-use crate::place::death::{Inquiry, Lifetime, Probe, Verdict};
-use crate::place::quarantine::Death;
+use crate::place::death::{Finding, Inquiry, Lifetime, Probe, Verdict};
+use crate::place::quarantine::{Death, QUARANTINE_TIME};
 use crate::place::witness;
 
 /// Number of times that a report is sent; datagrams can be lost.
@@ -77,21 +77,44 @@
         counter!("corianderramp_gateway_target_deaths_total").increment(1);
         let target = lifetime.address();
         warn!(target:% = target, death = id, parts = format_parts(&parts).as_str(); "target died during requests");
-        let message = TargetDeath {
+        let finding = Finding {
             id,
-            age_ms: u64::try_from(now.saturating_duration_since(at).as_millis())
-                .unwrap_or(u64::MAX),
+            target,
+            at,
             parts,
         };
+        let message = death_message(&finding, now);
+        let witness = self.report(&finding, now);
+        self.findings.lock().add(finding);
+        if let Some(reporter) = witness.or(self.agents.own_address()) {
+            self.record_death(reporter, &message);
+        }
+    }
+
+    /// Tells witnesses of a death; returns the first one, `None` while no host reports.
+    fn report(&self, finding: &Finding, now: Instant) -> Option<SocketAddr> {
         let pool = self.pool.lock();
-        let witnesses = witness::choose(&pool, target, &self.data_center, now);
+        let witnesses = witness::choose(&pool, finding.target, &self.data_center, now);
         drop(pool);
+        let message = Body::TargetDeath(death_message(finding, now));
         for host in &witnesses {
-            self.send_copies(*host, &Body::TargetDeath(message.clone()));
+            self.send_copies(*host, &message);
         }
-        let reporter = witnesses.first().copied().or(self.agents.own_address());
-        if let Some(reporter) = reporter {
-            self.record_death(reporter, &message);
+        witnesses.first().copied()
+    }
+
+    /// Reports the deaths again that no host has confirmed.
+    pub(super) fn report_findings(&self) {
+        let now = self.clock.now();
+        let due = self.findings.lock().due(QUARANTINE_TIME, now);
+        for finding in due {
+            let parts = self.quarantine.lock().unproven(&finding.parts, now);
+            self.findings.lock().confirm(finding.id, &finding.parts);
+            if !parts.is_empty() {
+                let finding = Finding { parts, ..finding };
+                self.report(&finding, now);
+                self.findings.lock().add(finding);
+            }
         }
     }
 
@@ -136,6 +159,7 @@
 
     /// Handles the report of a host that a target died.
     pub(super) fn receive_death(&self, from: SocketAddr, message: &TargetDeath) {
+        self.findings.lock().confirm(message.id, &message.parts);
         let sound = self.record_death(from, message);
         if !sound.is_empty() {
             let sound = Body::SoundParts(SoundParts { parts: sound });
@@ -180,3 +204,12 @@
     let parts: Vec<String> = parts.iter().map(|p| format!("{p:016x}")).collect();
     parts.join(",")
 }
+
+fn death_message(finding: &Finding, now: Instant) -> TargetDeath {
+    let age = now.saturating_duration_since(finding.at);
+    TargetDeath {
+        id: finding.id,
+        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        parts: finding.parts.clone(),
+    }
+}
--- a/src/host/deaths.rs
+++ b/src/host/deaths.rs
@@ -199,8 +199,9 @@
         }
     }
 
-    /// Handles a gateway's report of the death of a target without a host.
-    pub(super) fn receive_death(&self, report: &TargetDeath) {
+    /// Handles a gateway's report of the death of a target without a host. The gateway repeats
+    /// it until it gets the death back.
+    pub(super) fn receive_death(&self, from: SocketAddr, report: &TargetDeath) {
         let now = self.clock.now();
         let age = Duration::from_millis(report.age_ms);
         let death = Death {
@@ -210,6 +211,8 @@
         };
         if self.deaths.lock().record_reported(&death) {
             self.reported.notify_one();
+        } else {
+            self.send(from, self.death_message(&death));
         }
     }
 
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -67,7 +67,7 @@
             Body::HeldChunks(held) => self.receive_held(from, held, now),
             Body::CrashReport(report) => self.receive_report(&report),
             Body::SoundParts(sound) => self.receive_sound(&sound),
-            Body::TargetDeath(death) => self.receive_death(&death),
+            Body::TargetDeath(death) => self.receive_death(from, &death),
             Body::RateLimit(limit) => self.receive_limit(&limit, now),
             Body::PermitRequest(request) => {
                 let reply = self.decide_permit(&request, now);
--- a/standins/tests/crashing_request.rs
+++ b/standins/tests/crashing_request.rs
@@ -24,6 +24,10 @@
 const MAX_CRASHES: usize = 3;
 const NOTICE_TIME: Duration = Duration::from_secs(3);
 const MAX_ARRIVALS: usize = 3;
+/// Numbers of the VMs with an engine.
+const ENGINES: std::ops::Range<u8> = 10..12;
+/// Time in which gateways hear of hosts that have started.
+const HOST_TIME: Duration = Duration::from_millis(1_500);
 /// Pause between two requests that crash targets.
 const BAD_INTERVAL: Duration = Duration::from_millis(900);
 
@@ -45,10 +49,15 @@
 impl Deployment {
     /// Starts two engines with hosts, `count` plain targets and six gateways that serve.
     async fn start(index: u8, count: u8, restart: Restart, away: Duration) -> Self {
+        let deployment = Self::start_without_hosts(index, count, restart, away).await;
+        deployment.start_hosts().await;
+        deployment
+    }
+
+    async fn start_without_hosts(index: u8, count: u8, restart: Restart, away: Duration) -> Self {
         let fleet = Fleet::start(index).await;
-        for vm in 10..12 {
+        for vm in ENGINES {
             fleet.target(vm, "llm", 1, Behavior::Stream(1, 10)).await;
-            fleet.host(vm);
         }
         let mut targets = Vec::new();
         for vm in 12..12 + count {
@@ -69,6 +78,14 @@
         deployment
     }
 
+    /// Starts the hosts beside the engines; gateways hear of them within a second.
+    async fn start_hosts(&self) {
+        for vm in ENGINES {
+            self.fleet.host(vm);
+        }
+        time::sleep(HOST_TIME).await;
+    }
+
     /// Waits until each gateway serves a request that comes only once.
     async fn wait_until_served(&self) {
         for (i, gateway) in self.gateways.iter().enumerate() {
@@ -199,6 +216,28 @@
     assert!(arrivals <= MAX_ARRIVALS, "{arrivals} more requests");
 }
 
+/// Deaths that a gateway saw while no host could be reached, as when all machines start at the
+/// same moment, were known to nobody else: each other gateway would crash as many targets again.
+#[tokio::test]
+async fn deaths_seen_without_hosts_are_passed_on_when_hosts_are_back() {
+    let away = Duration::from_millis(600);
+    let deployment = Deployment::start_without_hosts(9, 3, Restart::NewId, away).await;
+    for _ in 0..MAX_CRASHES {
+        status(deployment.gateways[0], Method::GET, "/check/bad").await;
+        time::sleep(BAD_INTERVAL).await;
+    }
+    assert!(deployment.crashes() >= 3);
+    deployment.start_hosts().await;
+    deployment.wait_until_served().await;
+    time::sleep(NOTICE_TIME).await;
+    let before = deployment.bad_arrivals().len();
+    for (i, gateway) in deployment.gateways.iter().enumerate() {
+        let answer = status(*gateway, Method::GET, "/check/bad").await;
+        assert_eq!(answer, Some(StatusCode::SERVICE_UNAVAILABLE), "gateway {i}");
+    }
+    assert_eq!(deployment.bad_arrivals().len(), before);
+}
+
 /// Targets that end for another reason take requests along that come often and are sound;
 /// those must not be refused afterwards.
 #[tokio::test]
--- a/tests/target_deaths.rs
+++ b/tests/target_deaths.rs
@@ -7,7 +7,9 @@
 
 use corianderramp::fleet::catalog::{Catalog, Entry};
 use corianderramp::fleet::{Phase, Target};
-use corianderramp::place::death::{Inquiries, Inquiry, Lifetime, MAX_PARTS, Probe, Verdict};
+use corianderramp::place::death::{
+    Finding, Findings, Inquiries, Inquiry, Lifetime, MAX_PARTS, Probe, Verdict,
+};
 use corianderramp::place::pool::{AgentState, Pool};
 use corianderramp::place::quarantine::{Death, Quarantine};
 use corianderramp::place::witness;
@@ -164,6 +166,33 @@
     assert!(opened.count() <= 64);
 }
 
+/// A gateway that reaches no host must not forget what it found out, nor keep it without end.
+#[test]
+fn findings_are_kept_until_a_host_confirms_them() {
+    let start = Instant::now();
+    let finding = |id: u64| Finding {
+        id,
+        target: SocketAddr::from(([10, 0, 0, 1], 80)),
+        at: start + ms(id),
+        parts: vec![BAD],
+    };
+    let mut findings = Findings::default();
+    for id in 0..1_000 {
+        findings.add(finding(id));
+    }
+    let limit = Duration::from_secs(60);
+    let due = findings.due(limit, start + ms(1_000));
+    assert!(due.len() <= 256);
+    assert_eq!(due.last(), Some(&finding(999)));
+    // Another gateway's report of the same death.
+    findings.confirm(999, &[3]);
+    assert_eq!(findings.due(limit, start + ms(1_000)).len(), due.len());
+    findings.confirm(999, &[3, BAD]);
+    let due = findings.due(limit, start + ms(1_000));
+    assert!(due.iter().all(|f| f.id != 999));
+    assert!(findings.due(limit, start + ms(2_000) + limit).is_empty());
+}
+
 /// All gateways must tell the same host of a death, or each learns of some only; those of a data
 /// centre that is cut off need one that they reach.
 #[test]
