Notice a crash shortly after a connection was reset

After a reset by a living target a gateway waits up to 5 s for a later registration. Requests that broke meanwhile joined that wait instead of probing the target, so that a crash without a registration in that time was missed. The wait is now apart from the inquiry, and at most 64 run.

Found by reading. Measured: crash_shortly_after_a_reset_is_noticed failed before (502 at gateway 0) and passes.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use snafu::{OptionExt, ResultExt};
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Semaphore;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
@@ -42,6 +43,9 @@
 const ACCEPT_GRACE: Duration = Duration::from_secs(3);
 /// Time before the stop limit at which the process exits although requests are in progress.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Maximum number of waits for a later lifetime of a target; each is woken by every change of the
+/// catalog.
+const MAX_SUCCESSOR_WAITS: usize = 64;
 /// Interval at which the shutdown checks for requests in progress.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -59,6 +63,8 @@
     quarantine: Mutex<Quarantine>,
     inquiries: Mutex<Inquiries>,
     findings: Mutex<Findings>,
+    /// Limits the waits for later lifetimes of targets.
+    successor_waits: Semaphore,
     /// Permits for targets about which no host decides.
     limits: Mutex<Limits>,
     bounds: crate::node::settings::Bounds,
@@ -106,6 +112,7 @@
         quarantine: Mutex::default(),
         inquiries: Mutex::default(),
         findings: Mutex::default(),
+        successor_waits: Semaphore::new(MAX_SUCCESSOR_WAITS),
         limits: Mutex::default(),
         bounds: settings.bounds.clone(),
         stopping: CancellationToken::new(),
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -64,12 +64,15 @@
 
     /// Finds out whether a target that no host reports on died at `at`, and tells all gateways if so.
     async fn inquire(self: Arc<Self>, lifetime: Lifetime, at: Instant) {
-        let is_dead = self.is_dead(&lifetime).await;
+        let is_refusing = self.is_refusing(&lifetime).await;
         let parts = self.inquiries.lock().end(&lifetime);
+        if !is_refusing && !self.is_succeeded(&lifetime).await {
+            return;
+        }
         let now = self.clock.now();
         let quarantine = self.quarantine.lock();
         let parts = quarantine.unproven(&parts, now);
-        if !is_dead || parts.is_empty() {
+        if parts.is_empty() {
             return;
         }
         let id = quarantine.death_id(lifetime.fingerprint(), at);
@@ -118,7 +121,8 @@
         }
     }
 
-    async fn is_dead(&self, lifetime: &Lifetime) -> bool {
+    /// Returns whether the target refuses connections, so that it is dead.
+    async fn is_refusing(&self, lifetime: &Lifetime) -> bool {
         let mut inquiry = Inquiry::default();
         loop {
             let probe = match net::connect(lifetime.address(), PROBE_TIMEOUT).await {
@@ -129,9 +133,16 @@
             match inquiry.record(probe) {
                 Verdict::Dead => return true,
                 Verdict::Unsure => time::sleep(PROBE_PAUSE).await,
-                Verdict::Alive => break,
+                Verdict::Alive => return false,
             }
         }
+    }
+
+    /// Waits for the registration of a later lifetime, which shows that this one has ended.
+    async fn is_succeeded(&self, lifetime: &Lifetime) -> bool {
+        let Ok(_permit) = self.successor_waits.try_acquire() else {
+            return false;
+        };
         let mut snapshots = self.catalog.subscribe();
         let successor = snapshots.wait_for(|catalog| lifetime.has_successor(catalog));
         matches!(time::timeout(SUCCESSOR_TIMEOUT, successor).await, Ok(Ok(_)))
--- a/standins/tests/crashing_request.rs
+++ b/standins/tests/crashing_request.rs
@@ -238,6 +238,37 @@
     assert_eq!(deployment.bad_arrivals().len(), before);
 }
 
+/// A connection that a living target reset kept the gateway waiting for a new start of that target,
+/// and a crash in that time went unnoticed.
+#[tokio::test]
+async fn crash_shortly_after_a_reset_is_noticed() {
+    let away = Duration::from_secs(7);
+    let deployment = Deployment::start(10, 3, Restart::SameId, away).await;
+    for target in &deployment.targets {
+        target.set_behavior(Behavior::CloseConnection);
+    }
+    let gateway = deployment.gateways[0];
+    let is_reset = |t: &Target| t.received().iter().any(|r| r.uri.path() == "/book/reset");
+    while !deployment.targets.iter().all(is_reset) {
+        status(gateway, Method::POST, "/book/reset").await;
+    }
+    for target in &deployment.targets {
+        target.set_behavior(Behavior::CrashOnPath(BAD));
+    }
+    for _ in 0..MAX_CRASHES {
+        status(gateway, Method::POST, "/book/bad").await;
+        time::sleep(Duration::from_millis(300)).await;
+    }
+    assert_eq!(deployment.crashes(), 3);
+    time::sleep(away).await;
+    deployment.wait_until_served().await;
+    for (i, gateway) in deployment.gateways.iter().enumerate() {
+        let answer = status(*gateway, Method::POST, "/book/bad").await;
+        assert_eq!(answer, Some(StatusCode::SERVICE_UNAVAILABLE), "gateway {i}");
+    }
+    assert_eq!(deployment.crashes(), 3);
+}
+
 /// Targets that end for another reason take requests along that come often and are sound;
 /// those must not be refused afterwards.
 #[tokio::test]
