Test that a crash within an answer is noticed

The stand-in sends a part of an answer and then dies; three such deaths must make all gateways refuse the request. The origin of weights moves to a file of its own.

--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -3,11 +3,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use corianderramp::digest::Digest;
 use futures_util::stream::{self, BoxStream, StreamExt};
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, StreamBody};
@@ -17,12 +15,14 @@
 use tokio::sync::watch;
 use tokio::time;
 
+pub use origin::{Origin, chunk_data};
 pub use store::Store;
 
 use self::server::{
-    Error, HttpResponse, body, connection_reset, full_response, query, serve, serve_while_up,
+    Error, HttpResponse, body, connection_reset, full_response, query, serve_while_up,
 };
 
+mod origin;
 mod server;
 mod store;
 
@@ -56,7 +56,8 @@
     /// this part. The connections to it then break, and it is back after [`RESTART_TIME`].
     CrashOn(&'static str),
     /// Works for [`WORK_TIME`] and then responds with status 200, or crashes if the request's
-    /// path contains this text. A crash breaks all requests in progress.
+    /// path contains this text: within its answer if the path ends with `/partial`. A crash
+    /// breaks all requests in progress.
     CrashOnPath(&'static str),
     /// Never responds.
     Hang,
@@ -238,6 +239,16 @@
             at: Instant::now(),
         });
         let mut response = match behavior {
+            Behavior::CrashOnPath(text) if path.contains(text) && path.ends_with("/partial") => {
+                let part = stream::once(async { Ok(Frame::data(Bytes::from_static(b"do"))) });
+                let target = self.clone();
+                let broken = stream::once(async move {
+                    time::sleep(WORK_TIME).await;
+                    target.crash();
+                    Err(connection_reset())
+                });
+                Response::new(StreamBody::new(part.chain(broken).boxed()))
+            }
             Behavior::CrashOnPath(text) => self.work(path.contains(text)).await?,
             _ => self.respond(&behavior, last_event, prompt).await?,
         };
@@ -390,64 +401,6 @@
     }
 }
 
-/// Returns the contents of chunk `index` of `version`.
-#[must_use]
-pub fn chunk_data(version: u64, index: usize) -> Bytes {
-    format!("chunk {index} of version {version}")
-        .repeat(64)
-        .into()
-}
-
-/// Simulated origin of weights that records the chunks that it sends.
-#[derive(Clone, Debug, Default)]
-pub struct Origin {
-    sent: Arc<Mutex<Vec<(u64, usize)>>>,
-    is_failing: Arc<AtomicBool>,
-}
-
-impl Origin {
-    /// Starts an origin at `address` with `chunks` chunks of each version.
-    pub async fn start(address: SocketAddr, chunks: usize) -> Self {
-        let origin = Self::default();
-        let served = origin.clone();
-        serve(address, move |request| {
-            let origin = served.clone();
-            async move { Ok(origin.handle(request.uri(), chunks)) }
-        })
-        .await;
-        origin
-    }
-
-    /// Sets whether requests for chunks fail. Requests for manifests always succeed.
-    pub fn set_failing(&self, is_failing: bool) {
-        self.is_failing.store(is_failing, Ordering::Relaxed);
-    }
-
-    /// Version and index of each chunk sent, in order.
-    #[must_use]
-    pub fn sent_chunks(&self) -> Vec<(u64, usize)> {
-        self.sent.lock().clone()
-    }
-
-    fn handle(&self, uri: &Uri, chunks: usize) -> HttpResponse {
-        let version = query(uri, "version")
-            .and_then(|v| v.parse().ok())
-            .unwrap_or(1);
-        let Some(index) = query(uri, "item_count").and_then(|i| i.parse().ok()) else {
-            let digests: Vec<String> = (0..chunks)
-                .map(|i| Digest::of(&chunk_data(version, i)).to_string())
-                .collect();
-            let manifest = json!({"model": "m0", "version": version, "digests": digests});
-            return full_response(StatusCode::OK, manifest.to_string());
-        };
-        if self.is_failing.load(Ordering::Relaxed) {
-            return full_response(StatusCode::SERVICE_UNAVAILABLE, "");
-        }
-        self.sent.lock().push((version, index));
-        full_response(StatusCode::OK, chunk_data(version, index))
-    }
-}
-
 /// Returns the `spec` of a configuration with a model service `llm`, a plain service `desk`
 /// and the origin of weights at `origin`.
 #[must_use]
--- a/standins/tests/crashing_request.rs
+++ b/standins/tests/crashing_request.rs
@@ -269,6 +269,23 @@
     assert_eq!(deployment.crashes(), 3);
 }
 
+/// A target that dies within its answer was not reported, as if the answer had been too slow.
+#[tokio::test]
+async fn crash_within_an_answer_is_noticed() {
+    let away = Duration::from_millis(600);
+    let deployment = Deployment::start(11, 3, Restart::NewId, away).await;
+    for _ in 0..MAX_CRASHES {
+        let gateway = deployment.gateways[0];
+        let answer = status(gateway, Method::POST, "/book/bad/partial").await;
+        assert_eq!(answer, Some(StatusCode::BAD_GATEWAY));
+        time::sleep(BAD_INTERVAL).await;
+    }
+    for (i, gateway) in deployment.gateways.iter().enumerate() {
+        let answer = status(*gateway, Method::POST, "/book/bad/partial").await;
+        assert_eq!(answer, Some(StatusCode::SERVICE_UNAVAILABLE), "gateway {i}");
+    }
+}
+
 /// Targets that end for another reason take requests along that come often and are sound;
 /// those must not be refused afterwards.
 #[tokio::test]
