--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -62,7 +62,8 @@
         }
     }
 
-    /// Finds out whether a target that no host reports on died at `at`, and tells all gateways if so.
+    /// Finds out whether a target that no host reports on died at `at`, and tells all gateways
+    /// if so.
     async fn inquire(self: Arc<Self>, lifetime: Lifetime, at: Instant) {
         let is_refusing = self.is_refusing(&lifetime).await;
         let parts = self.inquiries.lock().end(&lifetime);
--- a/standins/tests/soak_platform.rs
+++ b/standins/tests/soak_platform.rs
@@ -1,11 +1,11 @@
 //! Randomized soak test of gateway and host processes on the simulated users' platform.
 //!
 //! While callers send requests, processes are stopped, killed, paused, reloaded and
-//! restarted, targets misbehave, crash and name rate limits, the store rejects calls of single VMs or never
-//! answers calls of one kind, and versions are released; these faults overlap. The test checks the responses that callers receive and
-//! the requests that targets receive. `SOAK_SEEDS=1-16` selects the seeds, at most sixteen
-//! per run because each uses addresses of its own. `SOAK_SECONDS` sets how long faults are
-//! injected for each seed.
+//! restarted, targets misbehave, crash and name rate limits, the store rejects calls of single
+//! VMs or never answers calls of one kind, and versions are released; these faults overlap. The
+//! test checks the responses that callers receive and the requests that targets receive.
+//! `SOAK_SEEDS=1-16` selects the seeds, at most sixteen per run because each uses addresses of
+//! its own. `SOAK_SECONDS` sets how long faults are injected for each seed.
 
 #![allow(clippy::unwrap_used)]
 
