--- a/src/place/pool.rs
+++ b/src/place/pool.rs
@@ -118,12 +118,6 @@
         Some(wait).filter(|w| !w.is_zero())
     }
 
-    /// Newest notice of a limit that is in force.
-    #[must_use]
-    pub fn active_limit(&self) -> Option<Notice> {
-        self.limit.filter(|n| n.rate.is_some())
-    }
-
     fn is_avoided(&self, now: Instant) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
     }
