Show that deaths are forgotten when all hosts restart

Callers of a plain service lose all its targets again after all hosts restarted: a request that crashed three targets is sent on by gateways that start then, though older ones refuse it.

--- a/standins/tests/crashing_request.rs
+++ b/standins/tests/crashing_request.rs
@@ -12,7 +12,7 @@
 use standins::users::{self, Behavior, Target};
 use tokio::time;
 
-use users_fleet::{Fleet, TIMEOUT, call, request};
+use users_fleet::{Fleet, Node, TIMEOUT, call, request};
 
 #[path = "support/users_fleet.rs"]
 mod users_fleet;
@@ -86,6 +86,13 @@
         time::sleep(HOST_TIME).await;
     }
 
+    /// The same with hosts that can be killed.
+    async fn start_host_nodes(&self) -> Vec<Node> {
+        let hosts = ENGINES.map(|vm| self.fleet.host_node(vm)).collect();
+        time::sleep(HOST_TIME).await;
+        hosts
+    }
+
     /// Waits until each gateway serves a request that comes only once.
     async fn wait_until_served(&self) {
         for (i, gateway) in self.gateways.iter().enumerate() {
@@ -216,6 +223,36 @@
     assert!(arrivals <= MAX_ARRIVALS, "{arrivals} more requests");
 }
 
+/// What hosts knew of the deaths was lost when all of them restarted, and nobody told them again:
+/// gateways that started then crashed as many targets once more.
+#[tokio::test]
+async fn deaths_outlive_a_restart_of_all_hosts() {
+    let away = Duration::from_millis(600);
+    let mut deployment = Deployment::start_without_hosts(12, 3, Restart::NewId, away).await;
+    let hosts: Vec<Node> = deployment.start_host_nodes().await;
+    let duration = Duration::from_secs(6);
+    deployment
+        .send_bad(Method::GET, "/check/bad", duration)
+        .await;
+    deployment.assert_contained();
+    for host in hosts {
+        host.kill().await;
+    }
+    let _hosts = deployment.start_host_nodes().await;
+    let before = deployment.bad_arrivals().len();
+    deployment.gateways = (30..36).map(|vm| deployment.fleet.gateway(vm)).collect();
+    deployment.wait_until_served().await;
+    deployment
+        .send_bad(Method::GET, "/check/bad", duration)
+        .await;
+    let arrivals = deployment.bad_arrivals().len() - before;
+    let crashes = deployment.crashes();
+    assert!(
+        arrivals <= MAX_ARRIVALS,
+        "{arrivals} more requests, {crashes} crashes"
+    );
+}
+
 /// Deaths that a gateway saw while no host could be reached, as when all machines start at the
 /// same moment, were known to nobody else: each other gateway would crash as many targets again.
 #[tokio::test]
--- a/standins/tests/support/users_fleet.rs
+++ b/standins/tests/support/users_fleet.rs
@@ -16,6 +16,7 @@
 use http_body_util::Full;
 use standins::harness::Subnet;
 use standins::users::{self, Behavior, Origin, Store, Target};
+use tokio::runtime::{Builder, Runtime};
 use tokio::time;
 
 /// Time limit for expected events; long enough for a busy machine.
@@ -106,6 +107,16 @@
         self.net.address(vm, 8080)
     }
 
+    /// Starts a gateway on VM number `vm` that can be killed.
+    pub fn gateway_node(&self, vm: u8) -> Node {
+        start_node(self.settings(Role::Gateway, vm))
+    }
+
+    /// Starts a host on VM number `vm` that can be killed.
+    pub fn host_node(&self, vm: u8) -> Node {
+        start_node(self.settings(Role::Host, vm))
+    }
+
     /// Starts a host on VM number `vm`.
     pub fn host(&self, vm: u8) {
         let settings = self.settings(Role::Host, vm);
@@ -114,6 +125,54 @@
     }
 }
 
+/// Gateway or host with threads of its own, which ends as if killed when this is dropped.
+pub struct Node {
+    runtime: Option<Runtime>,
+    address: SocketAddr,
+}
+
+impl Node {
+    /// Ends all tasks at once and waits until the addresses are free again.
+    pub async fn kill(mut self) {
+        self.stop();
+        while std::net::UdpSocket::bind(self.address).is_err() {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    fn stop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn start_node(settings: Settings) -> Node {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let address = settings.message_address();
+    runtime.spawn(async move {
+        let signals = Signals::install(PathBuf::new()).unwrap();
+        match settings.role {
+            Role::Gateway => gateway::run(settings, signals, clock::System).await,
+            Role::Host => host::run(settings, signals, clock::System).await,
+        }
+    });
+    Node {
+        runtime: Some(runtime),
+        address,
+    }
+}
+
 pub fn request(method: Method, path: &str, id: &str) -> Request<Full<Bytes>> {
     Request::builder()
         .method(method)
