Let what is known of deaths outlive the hosts that keep it

Callers of a plain service lost all its targets again after all hosts had restarted: gateways that started then sent on a request that had crashed three targets, though older gateways refused it.

Cause: a gateway's duty to tell a death ended with the first host that confirmed it, though the process that did may end. A new host process got the renewed subscriptions of old gateways and sent them what it knew: nothing. Class: a fact held by fewer processes than know it, handed on once. Ruled out: late subscriptions and lost messages, as the older gateways never told the new hosts (no line 'reported death passed on').

Each gateway now remembers the deaths that it knows, its own and those it heard of, with the host processes that keep them (place::handover). States and deaths name the process that sends them. A witness whose process lacks a death is told by the first gateway that notices, and passes it on, so that the others don't. This also covers witnesses that leave for good and deaths of engines, which only their own host kept.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -20,7 +20,8 @@
 use crate::node::stop::Signals;
 use crate::node::{Error, ListenSnafu, MissingSnafu, SharedCatalog, metrics_listener};
 use crate::place::backoff::RefusalRate;
-use crate::place::death::{Findings, Inquiries};
+use crate::place::death::Inquiries;
+use crate::place::handover::Deaths;
 use crate::place::limit::Limits;
 use crate::place::pool::Pool;
 use crate::place::quarantine::Quarantine;
@@ -62,7 +63,8 @@
     refusals: Mutex<RefusalRate>,
     quarantine: Mutex<Quarantine>,
     inquiries: Mutex<Inquiries>,
-    findings: Mutex<Findings>,
+    /// Deaths of targets that this gateway knows.
+    deaths: Mutex<Deaths>,
     /// Limits the waits for later lifetimes of targets.
     successor_waits: Semaphore,
     /// Permits for targets about which no host decides.
@@ -111,7 +113,7 @@
         refusals: Mutex::new(RefusalRate::new(now)),
         quarantine: Mutex::default(),
         inquiries: Mutex::default(),
-        findings: Mutex::default(),
+        deaths: Mutex::default(),
         successor_waits: Semaphore::new(MAX_SUCCESSOR_WAITS),
         limits: Mutex::default(),
         bounds: settings.bounds.clone(),
--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -17,6 +17,7 @@
     self, Body, PermitReply, PermitRequest, RateLimit, SlotRelease, SlotReply, SlotRequest,
     Subscribe,
 };
+use crate::place::handover::HostProcess;
 use crate::place::pool::{AgentState, TargetKey};
 
 /// Largest datagram that is read, bytes.
@@ -202,13 +203,13 @@
 }
 
 impl<C: Clock> Gateway<C> {
-    /// Renews the subscription to the hosts of all engines at intervals, and reports what they
-    /// have not confirmed.
+    /// Renews the subscription to the hosts of all engines at intervals, and tells them what they
+    /// lack.
     pub(super) async fn send_subscriptions(self: Arc<Self>) {
         let mut ticks = time::interval(SUBSCRIBE_INTERVAL);
         loop {
             ticks.tick().await;
-            self.report_findings();
+            self.tell_deaths();
             let subscribe = Body::Subscribe(Subscribe {
                 gateway_id: self.agents.gateway_id,
             });
@@ -285,6 +286,10 @@
         if !is_same {
             info!(target:% = target, weights = current.weights, open = current.is_open, free = current.free; "agent state changed");
         }
+        self.record_process(HostProcess {
+            address: from.ip(),
+            id: state.process,
+        });
     }
 
     /// Records that the host of a target does not answer.
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -3,11 +3,11 @@
 //! that no host reports on, as those of plain services, the gateway finds out itself and tells
 //! other hosts, which pass it on.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use log::{info, warn};
+use log::{debug, info, warn};
 use metrics::counter;
 use tokio::time;
 
@@ -17,7 +17,8 @@
 use crate::gateway::guard::SlotGuard;
 use crate::net;
 use crate::node::message::{Body, CrashReport, SoundParts, TargetDeath};
-use crate::place::death::{Finding, Inquiry, Lifetime, Probe, Verdict};
+use crate::place::death::{Inquiry, Lifetime, Probe, Verdict};
+use crate::place::handover::{self, HostProcess};
 use crate::place::quarantine::{Death, QUARANTINE_TIME};
 use crate::place::witness;
 
@@ -81,44 +82,51 @@
         counter!("corianderramp_gateway_target_deaths_total").increment(1);
         let target = lifetime.address();
         warn!(target:% = target, death = id, parts = format_parts(&parts).as_str(); "target died during requests");
-        let finding = Finding {
-            id,
-            target,
-            at,
-            parts,
-        };
-        let message = death_message(&finding, now);
-        let witness = self.report(&finding, now);
-        self.findings.lock().add(finding);
-        if let Some(reporter) = witness.or(self.agents.own_address()) {
-            self.record_death(reporter, &message);
+        self.deaths.lock().add(id, at, &parts);
+        self.tell_deaths();
+        let pool = self.pool.lock();
+        let witnesses = witness::choose(&pool, id, &self.data_center, now);
+        drop(pool);
+        let reporter = witnesses.first().copied().or(self.agents.own_address());
+        if let Some(reporter) = reporter {
+            self.suspect(reporter, id, at, &parts);
         }
     }
 
-    /// Tells witnesses of a death; returns the first one, `None` while no host reports.
-    fn report(&self, finding: &Finding, now: Instant) -> Option<SocketAddr> {
+    /// Tells hosts of the deaths that they must keep and lack.
+    pub(super) fn tell_deaths(&self) {
+        let now = self.clock.now();
+        let mut deaths = self.deaths.lock();
+        if deaths.is_empty() {
+            return;
+        }
         let pool = self.pool.lock();
-        let witnesses = witness::choose(&pool, finding.target, &self.data_center, now);
+        let reporting = pool.iter().filter(|(_, e)| e.has_agent(now));
+        let mut hosts: Vec<IpAddr> = reporting.map(|(_, e)| e.target.address.ip()).collect();
+        hosts.sort_unstable();
+        hosts.dedup();
+        let witnesses = |id| {
+            let chosen = witness::choose(&pool, id, &self.data_center, now);
+            chosen.iter().map(SocketAddr::ip).collect()
+        };
+        let due = deaths.due(&hosts, QUARANTINE_TIME, now, witnesses);
         drop(pool);
-        let message = Body::TargetDeath(death_message(finding, now));
-        for host in &witnesses {
-            self.send_copies(*host, &message);
+        drop(deaths);
+        for (death, hosts) in due {
+            counter!("corianderramp_gateway_deaths_told_total").increment(1);
+            debug!(death = death.id, hosts = hosts.len(); "hosts told of a death");
+            let body = Body::TargetDeath(death_message(&death, now));
+            for host in hosts {
+                // Any port of the VM leads to its host.
+                self.send_copies(SocketAddr::new(host, 0), &body);
+            }
         }
-        witnesses.first().copied()
     }
 
-    /// Reports the deaths again that no host has confirmed.
-    pub(super) fn report_findings(&self) {
-        let now = self.clock.now();
-        let due = self.findings.lock().due(QUARANTINE_TIME, now);
-        for finding in due {
-            let parts = self.quarantine.lock().unproven(&finding.parts, now);
-            self.findings.lock().confirm(finding.id, &finding.parts);
-            if !parts.is_empty() {
-                let finding = Finding { parts, ..finding };
-                self.report(&finding, now);
-                self.findings.lock().add(finding);
-            }
+    /// Records the process of a host that reports, and tells a new one what it must keep.
+    pub(super) fn record_process(&self, process: HostProcess) {
+        if self.deaths.lock().set_process(process) {
+            self.tell_deaths();
         }
     }
 
@@ -161,6 +169,11 @@
     pub(super) fn record_sound(&self, call: &Call) {
         let now = self.clock.now();
         let cleared = self.quarantine.lock().record_sound(&call.fingerprints, now);
+        if cleared.is_empty() {
+            return;
+        }
+        let parts: Vec<u64> = cleared.iter().map(|(_, part)| *part).collect();
+        self.deaths.lock().clear(&parts);
         for (reporter, part) in cleared {
             info!(part = format!("{part:016x}").as_str(); "prompt part proved sound");
             let parts = vec![part];
@@ -169,33 +182,44 @@
         }
     }
 
-    /// Handles the report of a host that a target died.
+    /// Handles the message of a host that a target died.
     pub(super) fn receive_death(&self, from: SocketAddr, message: &TargetDeath) {
-        self.findings.lock().confirm(message.id, &message.parts);
-        let sound = self.record_death(from, message);
-        if !sound.is_empty() {
-            let sound = Body::SoundParts(SoundParts { parts: sound });
-            self.agents.send(from, sound);
+        let now = self.clock.now();
+        let age = Duration::from_millis(message.age_ms);
+        let at = now.checked_sub(age).unwrap_or(now);
+        let host = HostProcess {
+            address: from.ip(),
+            id: message.process,
+        };
+        let mut deaths = self.deaths.lock();
+        let mut sound = deaths.cleared(message.id, &message.parts);
+        deaths.add(message.id, at, &message.parts);
+        deaths.confirm(host, message.id, &message.parts);
+        drop(deaths);
+        let mut suspected = message.parts.clone();
+        suspected.retain(|p| !sound.contains(p));
+        sound.extend(self.suspect(from, message.id, at, &suspected));
+        if sound.is_empty() {
+            return;
         }
+        self.deaths.lock().clear(&sound);
+        let sound = Body::SoundParts(SoundParts { parts: sound });
+        self.agents.send(from, sound);
     }
 
-    /// Records the death of a target; returns the parts that this gateway knows to be sound.
-    fn record_death(&self, from: SocketAddr, message: &TargetDeath) -> Vec<u64> {
+    /// Suspects parts of the death of a target; returns those that this gateway knows to be
+    /// sound.
+    fn suspect(&self, from: SocketAddr, id: u64, at: Instant, parts: &[u64]) -> Vec<u64> {
         let now = self.clock.now();
-        let age = Duration::from_millis(message.age_ms);
-        let death = Death {
-            id: message.id,
-            at: now.checked_sub(age).unwrap_or(now),
-            reporter: from,
-        };
+        let reporter = from;
+        let death = Death { id, at, reporter };
         let mut quarantine = self.quarantine.lock();
-        let refused_before: Vec<bool> = message
-            .parts
+        let refused_before: Vec<bool> = parts
             .iter()
             .map(|part| quarantine.is_refused(&[*part], now))
             .collect();
-        let sound = quarantine.record_death(death, &message.parts, now);
-        for (part, refused_before) in message.parts.iter().zip(refused_before) {
+        let sound = quarantine.record_death(death, parts, now);
+        for (part, refused_before) in parts.iter().zip(refused_before) {
             if !refused_before && quarantine.is_refused(&[*part], now) {
                 warn!(part = format!("{part:016x}").as_str(); "prompt part refused, it crashes targets");
             }
@@ -208,6 +232,7 @@
         let now = self.clock.now();
         // The hosts that suspect these parts have the same message from that gateway.
         let _ = self.quarantine.lock().record_sound(&message.parts, now);
+        self.deaths.lock().clear(&message.parts);
     }
 }
 
@@ -217,11 +242,12 @@
     parts.join(",")
 }
 
-fn death_message(finding: &Finding, now: Instant) -> TargetDeath {
-    let age = now.saturating_duration_since(finding.at);
+fn death_message(death: &handover::Death, now: Instant) -> TargetDeath {
+    let age = now.saturating_duration_since(death.at);
     TargetDeath {
-        id: finding.id,
+        id: death.id,
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-        parts: finding.parts.clone(),
+        parts: death.parts.clone(),
+        process: 0,
     }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use log::{info, warn};
 use parking_lot::Mutex;
+use rand::RngExt;
 use snafu::{OptionExt, ResultExt};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, watch};
@@ -64,6 +65,8 @@
 #[derive(Debug)]
 pub struct Host<C: Clock> {
     clock: C,
+    /// Random identifier of this process.
+    process: u64,
     catalog: SharedCatalog,
     contact: StoreContact,
     relay_cache: relay::codec::Cache,
@@ -125,6 +128,7 @@
     let catalog = SharedCatalog::default();
     let contact = follow::start(&settings, &catalog, &clock);
     let host = Arc::new(Host {
+        process: rand::rng().random(),
         catalog,
         contact,
         relay_cache: relay::codec::Cache::default(),
--- a/src/host/deaths.rs
+++ b/src/host/deaths.rs
@@ -259,6 +259,7 @@
             id: death.id,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             parts: death.parts.clone(),
+            process: self.process,
         })
     }
 }
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -145,6 +145,7 @@
             is_open: slots.is_open(),
             sequence: self.next_sequence(),
             target_port: self.target.port().into(),
+            process: self.process,
         }
     }
 
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -86,6 +86,9 @@
     /// milliseconds.
     #[prost(uint32, tag = "6")]
     pub wait_ms: u32,
+    /// Random identifier of the host process, new at every start.
+    #[prost(fixed64, tag = "7")]
+    pub process: u64,
 }
 
 /// Request of a gateway for a slot.
@@ -260,6 +263,9 @@
     /// Hashes of the prompt parts that may have caused it.
     #[prost(fixed64, repeated, tag = "3")]
     pub parts: Vec<u64>,
+    /// Random identifier of the host process that sends it; 0 from gateways.
+    #[prost(fixed64, tag = "4")]
+    pub process: u64,
 }
 
 /// Prompt parts of answers that ended well, sent to hosts that suspect them and from there to
--- a/src/place/death.rs
+++ b/src/place/death.rs
@@ -4,12 +4,9 @@
 //! plain service that runs it; the targets are back within seconds, mostly under a new id. No
 //! host runs beside them, so a gateway whose connection broke must find out itself whether the
 //! target died. Targets also reset connections, send malformed responses, stall, are cut off or
-//! leave as planned, and then the requests in progress are not to blame. What a gateway found
-//! out while it reached no host, as when all machines start at the same moment, is kept until
-//! a host has it.
+//! leave as planned, and then the requests in progress are not to blame.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::Xxh3;
 
@@ -21,8 +18,6 @@
 const MIN_REFUSALS: u32 = 2;
 /// Maximum number of targets about which a gateway inquires at a time.
 const MAX_INQUIRIES: usize = 64;
-/// Maximum number of deaths that a gateway keeps until a host has confirmed them.
-const MAX_UNCONFIRMED: usize = 256;
 /// Maximum number of parts of a death, which must fit into a datagram.
 pub const MAX_PARTS: usize = 128;
 
@@ -159,45 +154,3 @@
         found.map_or_else(Vec::new, |i| self.open.swap_remove(i).1)
     }
 }
-
-/// Death of a target that a gateway found out.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Finding {
-    /// Identifies the death.
-    pub id: u64,
-    /// Address of the target.
-    pub target: SocketAddr,
-    /// When the target died.
-    pub at: Instant,
-    /// Parts of the requests that broke there.
-    pub parts: Vec<u64>,
-}
-
-/// Deaths that a gateway found out and that no host has confirmed yet, in order of time.
-#[derive(Clone, Debug, Default)]
-pub struct Findings {
-    unconfirmed: Vec<Finding>,
-}
-
-impl Findings {
-    /// Adds a death; the oldest one is dropped when there are too many.
-    pub fn add(&mut self, finding: Finding) {
-        if self.unconfirmed.len() == MAX_UNCONFIRMED {
-            self.unconfirmed.remove(0);
-        }
-        self.unconfirmed.push(finding);
-    }
-
-    /// Records that a host knows the death `id` with `parts`.
-    pub fn confirm(&mut self, id: u64, parts: &[u64]) {
-        self.unconfirmed
-            .retain(|f| f.id != id || f.parts.iter().any(|p| !parts.contains(p)));
-    }
-
-    /// Deaths to report again; drops those that are older than `limit`.
-    pub fn due(&mut self, limit: Duration, now: Instant) -> Vec<Finding> {
-        self.unconfirmed
-            .retain(|f| now.saturating_duration_since(f.at) < limit);
-        self.unconfirmed.clone()
-    }
-}
--- a/src/place/witness.rs
+++ b/src/place/witness.rs
@@ -5,18 +5,24 @@
 //! all others, messages would grow with the square of their number. A few hosts, the same for
 //! all gateways, collect it instead and pass it on; each already sends states to all gateways.
 
+use std::fmt::Display;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Instant;
 
 use crate::place::pool::Pool;
 use crate::rendezvous;
 
-/// Returns the targets whose hosts are witnesses for `target`: the one that ranks first of all
-/// and the first of the gateway's `data_center`, which is reachable while that is cut off.
-/// Empty while no host reports to this gateway.
+/// Returns the targets whose hosts are witnesses for `subject`, which identifies a target or a
+/// death: the one that ranks first of all and the first of the gateway's `data_center`, which is
+/// reachable while that is cut off. Empty while no host reports to this gateway.
 #[must_use]
-pub fn choose(pool: &Pool, target: SocketAddr, data_center: &str, now: Instant) -> Vec<SocketAddr> {
-    let key = target.to_string();
+pub fn choose(
+    pool: &Pool,
+    subject: impl Display,
+    data_center: &str,
+    now: Instant,
+) -> Vec<SocketAddr> {
+    let key = subject.to_string();
     let rank = |host: IpAddr| rendezvous::weight(key.as_bytes(), &host.to_string());
     let reporting = pool.iter().filter(|(_, e)| e.has_agent(now));
     let mut hosts: Vec<(u64, SocketAddr, bool)> = reporting
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -64,7 +64,7 @@
 
 /// All metrics that the processes export. docs/operations/metrics.md says what to do
 /// when one of them changes.
-pub const METRICS: [Metric; 23] = [
+pub const METRICS: [Metric; 24] = [
     Metric {
         name: REQUESTS_TOTAL,
         kind: Type::Counter,
@@ -161,6 +161,12 @@
         labels: &[],
         help: "Deaths of targets without a host that requests of this gateway may have caused",
     },
+    Metric {
+        name: "corianderramp_gateway_deaths_told_total",
+        kind: Type::Counter,
+        labels: &[],
+        help: "Deaths of targets that this gateway told to hosts, once for each time",
+    },
     Metric {
         name: "corianderramp_gateway_sends_total",
         kind: Type::Counter,
--- a/standins/tests/death_messages.rs
+++ b/standins/tests/death_messages.rs
@@ -83,6 +83,7 @@
             id: 1,
             age_ms: 100,
             parts: vec![part],
+            process: 0,
         };
         let report = message::encode(Body::TargetDeath(death));
         socket.send_to(&report, host).await.unwrap();
--- a/tests/target_deaths.rs
+++ b/tests/target_deaths.rs
@@ -7,9 +7,8 @@
 
 use corianderramp::fleet::catalog::{Catalog, Entry};
 use corianderramp::fleet::{Phase, Target};
-use corianderramp::place::death::{
-    Finding, Findings, Inquiries, Inquiry, Lifetime, MAX_PARTS, Probe, Verdict,
-};
+use corianderramp::place::death::{Inquiries, Inquiry, Lifetime, MAX_PARTS, Probe, Verdict};
+use corianderramp::place::handover::{Deaths, HostProcess};
 use corianderramp::place::pool::{AgentState, Pool};
 use corianderramp::place::quarantine::{Death, Quarantine};
 use corianderramp::place::witness;
@@ -47,6 +46,12 @@
     }
 }
 
+/// Process number `id` of the host number `n`.
+fn host(n: u8, id: u64) -> HostProcess {
+    let address = [10, 0, 0, n].into();
+    HostProcess { address, id }
+}
+
 fn death(id: u64, at: Instant) -> Death {
     Death {
         id,
@@ -168,29 +173,116 @@
 
 /// A gateway that reaches no host must not forget what it found out, nor keep it without end.
 #[test]
-fn findings_are_kept_until_a_host_confirms_them() {
+fn deaths_are_told_until_a_host_keeps_them() {
     let start = Instant::now();
-    let finding = |id: u64| Finding {
-        id,
-        target: SocketAddr::from(([10, 0, 0, 1], 80)),
-        at: start + ms(id),
-        parts: vec![BAD],
-    };
-    let mut findings = Findings::default();
+    let host = host(1, 1);
+    let mut deaths = Deaths::default();
     for id in 0..1_000 {
-        findings.add(finding(id));
+        deaths.add(id, start + ms(id), &[BAD]);
     }
     let limit = Duration::from_secs(60);
-    let due = findings.due(limit, start + ms(1_000));
-    assert!(due.len() <= 256);
-    assert_eq!(due.last(), Some(&finding(999)));
+    let due = |deaths: &mut Deaths, now| {
+        let hosts = [host.address];
+        deaths.due(&hosts, limit, now, |_| hosts.to_vec())
+    };
+    let first = due(&mut deaths, start + ms(1_000));
+    assert!(first.len() <= 256);
+    assert_eq!(first.last().unwrap().0.id, 999);
     // Another gateway's report of the same death.
-    findings.confirm(999, &[3]);
-    assert_eq!(findings.due(limit, start + ms(1_000)).len(), due.len());
-    findings.confirm(999, &[3, BAD]);
-    let due = findings.due(limit, start + ms(1_000));
-    assert!(due.iter().all(|f| f.id != 999));
-    assert!(findings.due(limit, start + ms(2_000) + limit).is_empty());
+    deaths.confirm(host, 999, &[3]);
+    assert_eq!(due(&mut deaths, start + ms(1_000)).len(), first.len());
+    deaths.confirm(host, 999, &[3, BAD]);
+    let rest = due(&mut deaths, start + ms(1_000));
+    assert_eq!(rest.len(), first.len() - 1);
+    assert!(rest.iter().all(|(d, _)| d.id != 999));
+    // More parts of a death that the host keeps.
+    deaths.add(999, start, &[4]);
+    assert_eq!(due(&mut deaths, start + ms(1_000)).len(), first.len());
+    assert!(due(&mut deaths, start + ms(2_000) + limit).is_empty());
+    assert!(deaths.is_empty());
+}
+
+/// Load pattern of the incident: seven gateways know three deaths, all hosts restart, gateways
+/// subscribe to them within a second. Each host process must be told by the first gateway that
+/// notices it, and by no other one that heard of that.
+#[test]
+fn restarted_hosts_are_told_once_by_all_gateways_together() {
+    let start = Instant::now();
+    let limit = Duration::from_secs(600);
+    let mut gateways = vec![Deaths::default(); 7];
+    for gateway in &mut gateways {
+        for id in 0..3 {
+            gateway.add(id, start, &[BAD]);
+            for n in 1..=2 {
+                gateway.confirm(host(n, 1), id, &[BAD]);
+            }
+        }
+    }
+    let addresses = [host(1, 1).address, host(2, 1).address];
+    let due =
+        |gateway: &mut Deaths, now| gateway.due(&addresses, limit, now, |_| addresses.to_vec());
+    let later = start + Duration::from_secs(5);
+    assert!(gateways.iter_mut().all(|g| due(g, later).is_empty()));
+    for n in 1..=2 {
+        let mut kept: Vec<u64> = Vec::new();
+        for gateway in &mut gateways {
+            // The host tells a subscriber what it keeps before it states its process.
+            for id in &kept {
+                gateway.confirm(host(n, 2), *id, &[BAD]);
+            }
+            gateway.set_process(host(n, 2));
+            let told = due(gateway, later);
+            assert_eq!(told.len(), if kept.is_empty() { 3 } else { 0 });
+            kept.extend(told.iter().map(|(d, _)| d.id));
+            assert!(told.iter().all(|(_, hosts)| *hosts == [host(n, 2).address]));
+            for id in &kept {
+                gateway.confirm(host(n, 2), *id, &[BAD]);
+            }
+        }
+    }
+    // A host that is gone for good is replaced by another one.
+    let others = [host(1, 2).address, host(3, 1).address];
+    let told = gateways[0].due(&others, limit, later, |_| others.to_vec());
+    assert_eq!(told.len(), 3);
+    assert!(told.iter().all(|(_, hosts)| *hosts == [others[1]]));
+}
+
+/// A gateway that was cut off while a part proved sound must not bring it under suspicion again.
+#[test]
+fn part_that_proved_sound_is_not_suspected_again() {
+    let start = Instant::now();
+    let mut deaths = Deaths::default();
+    deaths.add(1, start, &[3, BAD]);
+    deaths.clear(&[3, 5]);
+    assert_eq!(deaths.cleared(1, &[3, 5, BAD]), [3]);
+    deaths.add(1, start, &[3, 9]);
+    let hosts = [host(1, 1).address];
+    let due = deaths.due(&hosts, ms(1_000), start, |_| hosts.to_vec());
+    assert_eq!(due[0].0.parts, [BAD, 9]);
+    deaths.clear(&[BAD, 9]);
+    assert!(
+        deaths
+            .due(&hosts, ms(1_000), start, |_| hosts.to_vec())
+            .is_empty()
+    );
+}
+
+/// Gateways that keep different parts of one death, more than fit into a message, must not tell it
+/// for ever.
+#[test]
+fn death_with_too_many_parts_is_told_once() {
+    let start = Instant::now();
+    let mut deaths = Deaths::default();
+    let parts: Vec<u64> = (0..200).collect();
+    deaths.add(1, start, &parts);
+    let others: Vec<u64> = (100..100 + MAX_PARTS as u64).collect();
+    deaths.confirm(host(1, 1), 1, &others);
+    let hosts = [host(1, 1).address];
+    assert!(
+        deaths
+            .due(&hosts, ms(1_000), start, |_| hosts.to_vec())
+            .is_empty()
+    );
 }
 
 /// All gateways must tell the same host of a death, or each learns of some only; those of a data
