Subscribe to hosts as soon as they are known

Each gateway that started sent on a request that crashes targets, which all others refused: for its first second it knew no death.

Cause: subscriptions were sent at the start, before any target is known, and the next ones a second later. Ruled out: lost messages, as the deaths came with the first subscription that reached a host. A gateway now subscribes to a host when its target first appears in the pool.

gateway_refuses_request_that_crashed_plain_targets_as_soon_as_it_serves failed before (12 more requests of eight gateways, 3 allowed) and passes.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -177,9 +177,11 @@
 
     async fn sync_pool(self: Arc<Self>) {
         let mut snapshots = self.catalog.subscribe();
+        let mut subscribed = Vec::new();
         loop {
             let snapshot = snapshots.borrow_and_update().clone();
             self.pool.lock().sync(&snapshot);
+            subscribed = self.subscribe_to_new(&subscribed);
             if snapshots.changed().await.is_err() {
                 return;
             }
--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -135,6 +135,12 @@
         self.send(target, Body::SlotRelease(release));
     }
 
+    /// Subscribes to the state of the host of `target`, or renews the subscription.
+    fn subscribe(&self, target: SocketAddr) {
+        let gateway_id = self.gateway_id;
+        self.send(target, Body::Subscribe(Subscribe { gateway_id }));
+    }
+
     /// Sends a datagram to the host of `target`.
     pub(super) fn send(&self, target: SocketAddr, body: Body) {
         let sent = self
@@ -210,13 +216,23 @@
         loop {
             ticks.tick().await;
             self.tell_deaths();
-            let subscribe = Body::Subscribe(Subscribe {
-                gateway_id: self.agents.gateway_id,
-            });
             for target in self.engine_addresses() {
-                self.agents.send(target, subscribe.clone());
+                self.agents.subscribe(target);
+            }
+        }
+    }
+
+    /// Subscribes at once to hosts that are not among `subscribed`, which is sorted, so that a
+    /// gateway that starts knows what they know when it begins to serve. Returns all hosts.
+    pub(super) fn subscribe_to_new(&self, subscribed: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut targets = self.engine_addresses();
+        targets.sort_unstable();
+        for target in &targets {
+            if subscribed.binary_search(target).is_err() {
+                self.agents.subscribe(*target);
             }
         }
+        targets
     }
 
     /// Addresses of the targets that are model engines.
--- a/standins/tests/crashing_request.rs
+++ b/standins/tests/crashing_request.rs
@@ -253,6 +253,27 @@
     );
 }
 
+/// A gateway that started knew no death for a second, as it subscribed to hosts before it knew where
+/// they are, and the next time a second later: each one sent the request on.
+#[tokio::test]
+async fn gateway_refuses_request_that_crashed_plain_targets_as_soon_as_it_serves() {
+    let away = Duration::from_millis(600);
+    let mut deployment = Deployment::start(13, 3, Restart::NewId, away).await;
+    let duration = Duration::from_secs(6);
+    deployment
+        .send_bad(Method::GET, "/check/bad", duration)
+        .await;
+    deployment.assert_contained();
+    let before = deployment.bad_arrivals().len();
+    for vm in 30..38 {
+        deployment.gateways = vec![deployment.fleet.gateway(vm)];
+        deployment.wait_until_served().await;
+        status(deployment.gateways[0], Method::GET, "/check/bad").await;
+    }
+    let arrivals = deployment.bad_arrivals().len() - before;
+    assert!(arrivals <= MAX_ARRIVALS, "{arrivals} more requests");
+}
+
 /// Deaths that a gateway saw while no host could be reached, as when all machines start at the
 /// same moment, were known to nobody else: each other gateway would crash as many targets again.
 #[tokio::test]
