Tell restarted hosts the rate limits that they keep

A target in need got more requests than it takes after all hosts had restarted: gateways that started then sent their first requests to it without a permit.

A keeper that restarted learned of a limit only with the next request for a permit, and told nobody before. A gateway that hears of a new host process now tells it the limits that it must keep, unless the host has said that it does, which it says to each new subscriber before its own state; so one gateway tells it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,7 +21,7 @@
 use crate::node::{Error, ListenSnafu, MissingSnafu, SharedCatalog, metrics_listener};
 use crate::place::backoff::RefusalRate;
 use crate::place::death::Inquiries;
-use crate::place::handover::Deaths;
+use crate::place::handover::{Deaths, Holders};
 use crate::place::limit::Limits;
 use crate::place::pool::Pool;
 use crate::place::quarantine::Quarantine;
@@ -67,6 +67,8 @@
     deaths: Mutex<Deaths>,
     /// Limits the waits for later lifetimes of targets.
     successor_waits: Semaphore,
+    /// Host processes that keep rate limits, by the hash of the target's lifetime.
+    limit_holders: Mutex<Holders>,
     /// Permits for targets about which no host decides.
     limits: Mutex<Limits>,
     bounds: crate::node::settings::Bounds,
@@ -115,6 +117,7 @@
         inquiries: Mutex::default(),
         deaths: Mutex::default(),
         successor_waits: Semaphore::new(MAX_SUCCESSOR_WAITS),
+        limit_holders: Mutex::default(),
         limits: Mutex::default(),
         bounds: settings.bounds.clone(),
         stopping: CancellationToken::new(),
--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -308,6 +308,14 @@
         });
     }
 
+    /// Records the process of a host that reports, and tells a new one what it must keep.
+    fn record_process(&self, process: HostProcess) {
+        self.tell_limits(process);
+        if self.deaths.lock().set_process(process) {
+            self.tell_deaths();
+        }
+    }
+
     /// Records that the host of a target does not answer.
     pub(super) fn mark_unresponsive(&self, key: TargetKey, target: SocketAddr) {
         self.pool.lock().mark_unresponsive(key, self.clock.now());
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -123,13 +123,6 @@
         }
     }
 
-    /// Records the process of a host that reports, and tells a new one what it must keep.
-    pub(super) fn record_process(&self, process: HostProcess) {
-        if self.deaths.lock().set_process(process) {
-            self.tell_deaths();
-        }
-    }
-
     /// Returns whether the target refuses connections, so that it is dead.
     async fn is_refusing(&self, lifetime: &Lifetime) -> bool {
         let mut inquiry = Inquiry::default();
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -1,6 +1,6 @@
 //! Keeps the rate limits that targets name in their answers, together with all other gateways.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use http::response;
@@ -10,8 +10,9 @@
 use crate::gateway::Gateway;
 use crate::gateway::attempt::Call;
 use crate::node::message::{Body, RateLimit};
+use crate::place::handover::HostProcess;
 use crate::place::limit::{Notice, Permit};
-use crate::place::pool::TargetKey;
+use crate::place::pool::{Pool, TargetKey};
 use crate::place::slots::GrantId;
 use crate::place::witness;
 use crate::platform::request;
@@ -51,12 +52,9 @@
         }
         let Some(entry) = pool.get(key) else { return };
         let (address, lifetime) = (entry.target.address, entry.lifetime);
-        let keepers = if call.has_engine() {
-            vec![address]
-        } else {
-            witness::choose(&pool, address, &self.data_center, now)
-        };
+        let keepers = self.keepers(&pool, address, call.has_engine(), now);
         drop(pool);
+        self.limit_holders.lock().remove(lifetime);
         log_limit(address, rate, "answer");
         let message = Body::RateLimit(RateLimit::new(lifetime, &notice, now));
         for keeper in keepers {
@@ -64,9 +62,58 @@
         }
     }
 
+    /// Targets whose hosts give out permits for `target`.
+    fn keepers(
+        &self,
+        pool: &Pool,
+        target: SocketAddr,
+        has_engine: bool,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        if has_engine {
+            return vec![target];
+        }
+        witness::choose(pool, target, &self.data_center, now)
+    }
+
+    /// Tells a new process of a host the rate limits that it must keep, unless it has said that it
+    /// does.
+    pub(super) fn tell_limits(&self, process: HostProcess) {
+        let mut holders = self.limit_holders.lock();
+        if !holders.set_told(process) {
+            return;
+        }
+        let now = self.clock.now();
+        let pool = self.pool.lock();
+        let mut hosts: Vec<IpAddr> = pool.iter().map(|(_, e)| e.target.address.ip()).collect();
+        hosts.sort_unstable();
+        holders.retain(&hosts);
+        for (_, entry) in pool.iter() {
+            let Some(notice) = entry.limit.filter(|n| n.rate.is_some()) else {
+                continue;
+            };
+            let target = &entry.target;
+            let keepers = self.keepers(&pool, target.address, target.has_engine, now);
+            let keeper = keepers.iter().find(|k| k.ip() == process.address);
+            if let Some(keeper) = keeper
+                && !holders.has(process.address, entry.lifetime)
+            {
+                let message = RateLimit::new(entry.lifetime, &notice, now);
+                self.agents.send(*keeper, Body::RateLimit(message));
+            }
+        }
+    }
+
     /// Handles the message of a host that a target's rate limit changed.
     pub(super) fn receive_limit(&self, from: SocketAddr, message: &RateLimit) {
         let notice = message.notice(self.clock.now());
+        let process = HostProcess {
+            address: from.ip(),
+            id: message.process,
+        };
+        if notice.rate.is_some() {
+            self.limit_holders.lock().add(process, message.lifetime);
+        }
         let mut pool = self.pool.lock();
         let Some(key) = pool.find_lifetime(message.lifetime) else {
             return;
--- a/src/host/limits.rs
+++ b/src/host/limits.rs
@@ -9,7 +9,7 @@
 use crate::clock::Clock;
 use crate::host::Host;
 use crate::node::message::{Body, PermitReply, PermitRequest, RateLimit};
-use crate::place::limit::Permit;
+use crate::place::limit::{Notice, Permit};
 use crate::place::slots::GrantId;
 
 /// Whole milliseconds of a wait, rounded up so that the permit is there when it ends.
@@ -26,10 +26,17 @@
             return;
         }
         info!(lifetime = format!("{:016x}", message.lifetime).as_str(), rate = notice.rate; "rate limit passed on");
-        let message = RateLimit::new(message.lifetime, &notice, now);
+        let message = self.limit_message(message.lifetime, &notice, now);
         self.send_to_gateways(&Body::RateLimit(message));
     }
 
+    fn limit_message(&self, lifetime: u64, notice: &Notice, now: Instant) -> RateLimit {
+        RateLimit {
+            process: self.process,
+            ..RateLimit::new(lifetime, notice, now)
+        }
+    }
+
     /// Decides on a gateway's request for a permit.
     pub(super) fn decide_permit(&self, request: &PermitRequest, now: Instant) -> PermitReply {
         self.receive_limit(&request.limit, now);
@@ -52,7 +59,7 @@
         let limits = self.limits.lock();
         let messages: Vec<RateLimit> = limits
             .notices()
-            .map(|(lifetime, notice)| RateLimit::new(lifetime, &notice, now))
+            .map(|(lifetime, notice)| self.limit_message(lifetime, &notice, now))
             .collect();
         drop(limits);
         for message in messages {
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -135,6 +135,9 @@
     /// Time since its request was sent, milliseconds.
     #[prost(uint64, tag = "4")]
     pub sent_ms: u64,
+    /// Random identifier of the host process that sends it; 0 from gateways.
+    #[prost(fixed64, tag = "5")]
+    pub process: u64,
 }
 
 impl RateLimit {
@@ -150,6 +153,7 @@
             rate: notice.rate,
             age_ms: age(notice.at),
             sent_ms: age(notice.sent),
+            process: 0,
         }
     }
 
--- a/src/place/handover.rs
+++ b/src/place/handover.rs
@@ -14,6 +14,10 @@
 /// Maximum number of deaths that a gateway remembers.
 const MAX_DEATHS: usize = 256;
 
+/// Maximum number of facts that are known to be kept by one host. Beyond it, hosts are told again
+/// what they keep.
+const MAX_FACTS: usize = 2_048;
+
 /// Process of a host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct HostProcess {
@@ -73,8 +77,26 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Holders {
-    /// Sorted by address; the facts are sorted.
-    hosts: Vec<(HostProcess, Vec<u64>)>,
+    /// Sorted by address.
+    hosts: Vec<Holder>,
+}
+
+#[derive(Clone, Debug)]
+struct Holder {
+    process: HostProcess,
+    /// Sorted.
+    facts: Vec<u64>,
+    is_told: bool,
+}
+
+impl Holder {
+    fn new(process: HostProcess) -> Self {
+        Self {
+            process,
+            facts: Vec::new(),
+            is_told: false,
+        }
+    }
 }
 
 impl Holders {
@@ -82,25 +104,37 @@
     /// it is new.
     pub fn set_process(&mut self, process: HostProcess) -> bool {
         match self.find(process.address) {
-            Ok(i) if self.hosts[i].0 == process => false,
+            Ok(i) if self.hosts[i].process == process => false,
             Ok(i) => {
-                self.hosts[i] = (process, Vec::new());
+                self.hosts[i] = Holder::new(process);
                 true
             }
             Err(i) => {
-                self.hosts.insert(i, (process, Vec::new()));
+                self.hosts.insert(i, Holder::new(process));
                 true
             }
         }
     }
 
+    /// Records that a host process is told all that it lacks; returns whether it was not before.
+    pub fn set_told(&mut self, process: HostProcess) -> bool {
+        self.set_process(process);
+        let found = self.find(process.address);
+        found.is_ok_and(|i| !std::mem::replace(&mut self.hosts[i].is_told, true))
+    }
+
     /// Records that a host process keeps `fact`.
     pub fn add(&mut self, process: HostProcess, fact: u64) {
         self.set_process(process);
-        if let Ok(i) = self.find(process.address)
-            && let Err(position) = self.hosts[i].1.binary_search(&fact)
-        {
-            self.hosts[i].1.insert(position, fact);
+        let Ok(i) = self.find(process.address) else {
+            return;
+        };
+        let facts = &mut self.hosts[i].facts;
+        if facts.len() == MAX_FACTS {
+            facts.clear();
+        }
+        if let Err(position) = facts.binary_search(&fact) {
+            facts.insert(position, fact);
         }
     }
 
@@ -108,25 +142,27 @@
     #[must_use]
     pub fn has(&self, host: IpAddr, fact: u64) -> bool {
         let found = self.find(host).ok();
-        found.is_some_and(|i| self.hosts[i].1.binary_search(&fact).is_ok())
+        found.is_some_and(|i| self.hosts[i].facts.binary_search(&fact).is_ok())
     }
 
     /// Records that no host is known to keep `fact` as it is now.
     pub fn remove(&mut self, fact: u64) {
-        for (_, facts) in &mut self.hosts {
-            if let Ok(i) = facts.binary_search(&fact) {
-                facts.remove(i);
+        for host in &mut self.hosts {
+            if let Ok(i) = host.facts.binary_search(&fact) {
+                host.facts.remove(i);
             }
         }
     }
 
-    /// Drops the hosts that `is_kept` rejects.
-    pub fn retain(&mut self, is_kept: impl Fn(IpAddr) -> bool) {
-        self.hosts.retain(|(process, _)| is_kept(process.address));
+    /// Drops the hosts that are not in `hosts`, which is sorted.
+    pub fn retain(&mut self, hosts: &[IpAddr]) {
+        let is_kept = |h: &Holder| hosts.binary_search(&h.process.address).is_ok();
+        self.hosts.retain(is_kept);
     }
 
     fn find(&self, address: IpAddr) -> Result<usize, usize> {
-        self.hosts.binary_search_by_key(&address, |h| h.0.address)
+        self.hosts
+            .binary_search_by_key(&address, |h| h.process.address)
     }
 }
 
@@ -234,8 +270,7 @@
     ) -> Vec<(Death, Vec<IpAddr>)> {
         if self.hosts != hosts {
             hosts.clone_into(&mut self.hosts);
-            self.holders
-                .retain(|host| hosts.binary_search(&host).is_ok());
+            self.holders.retain(hosts);
             self.unsettle();
         }
         let holders = &mut self.holders;
--- a/standins/tests/rate_limit.rs
+++ b/standins/tests/rate_limit.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinSet;
 use tokio::time;
 
-use users_fleet::{Fleet, TIMEOUT, call, request};
+use users_fleet::{Fleet, Node, TIMEOUT, call, request};
 
 #[path = "support/users_fleet.rs"]
 mod users_fleet;
@@ -26,8 +26,16 @@
 /// Time in which a rejected request must be answered.
 const REJECT_TIME: Duration = Duration::from_millis(500);
 
+/// Route to the engines.
+const ENGINE_ROUTE: (Method, &str) = (Method::POST, "/plan/x");
+/// Time in which gateways have noticed that hosts restarted.
+const HOST_TIME: Duration = Duration::from_millis(1_500);
+/// Numbers of the VMs with an engine and a host.
+const ENGINES: std::ops::Range<u8> = 10..12;
+
 struct Deployment {
-    _fleet: Fleet,
+    fleet: Fleet,
+    hosts: Vec<Node>,
     engines: Vec<Target>,
     plain: Vec<Target>,
     gateways: Vec<SocketAddr>,
@@ -43,10 +51,10 @@
     /// Starts two engines with hosts, two plain targets and twelve gateways that serve.
     async fn start(index: u8) -> Self {
         let fleet = Fleet::start(index).await;
+        let hosts = ENGINES.map(|vm| fleet.host_node(vm)).collect();
         let mut engines = Vec::new();
-        for vm in 10..12 {
+        for vm in ENGINES {
             engines.push(fleet.target(vm, "llm", 1, Behavior::Stream(1, 10)).await);
-            fleet.host(vm);
         }
         let mut plain = Vec::new();
         for vm in 12..14 {
@@ -55,19 +63,29 @@
         }
         let gateways = (24..36).map(|vm| fleet.gateway(vm)).collect();
         let deployment = Self {
-            _fleet: fleet,
+            fleet,
+            hosts,
             engines,
             plain,
             gateways,
         };
-        deployment.wait_until_served().await;
+        let routes = [(Method::GET, "/check/x"), ENGINE_ROUTE];
+        deployment.wait_until_served(&routes).await;
         deployment
     }
 
-    /// Waits until each gateway serves both services.
-    async fn wait_until_served(&self) {
+    /// Ends all hosts as if killed and starts them again.
+    async fn restart_hosts(&mut self) {
+        for host in self.hosts.drain(..) {
+            host.kill().await;
+        }
+        self.hosts = ENGINES.map(|vm| self.fleet.host_node(vm)).collect();
+    }
+
+    /// Waits until each gateway serves all routes.
+    async fn wait_until_served(&self, routes: &[(Method, &str)]) {
         for (i, gateway) in self.gateways.iter().enumerate() {
-            for (method, path) in [(Method::GET, "/check/x"), (Method::POST, "/plan/x")] {
+            for (method, path) in routes {
                 let serve = async {
                     loop {
                         let answer = call(*gateway, request(method.clone(), path, "warm")).await;
@@ -211,6 +229,28 @@
     assert!(rejected * 50 <= answers.len(), "{rejected} rejected");
 }
 
+/// A limit was known to no host any more after all of them had restarted, until a gateway asked for
+/// a permit: those that started meanwhile sent their first requests without one.
+#[tokio::test]
+async fn rate_limit_outlives_a_restart_of_all_hosts() {
+    let mut deployment = Deployment::start(5).await;
+    deployment.plain[0].set_rate_limit(Some("0.5"));
+    let duration = Duration::from_secs(4);
+    deployment.load(Method::GET, "/check/x", duration).await;
+    deployment.restart_hosts().await;
+    let vms = (14..24).chain(36..40);
+    deployment.gateways = vms.map(|vm| deployment.fleet.gateway(vm)).collect();
+    deployment.wait_until_served(&[ENGINE_ROUTE]).await;
+    time::sleep(HOST_TIME).await;
+    let start = Instant::now();
+    let gateways = deployment.gateways.iter().chain(&deployment.gateways);
+    let calls = gateways.map(|g| call(*g, request(Method::GET, "/check/x", "first")));
+    futures_util::future::join_all(calls).await;
+    let count = arrivals(&deployment.plain[0], start);
+    let count = f64::from(u32::try_from(count).unwrap());
+    assert!(count <= allowed(0.5), "{count} at once");
+}
+
 /// With both plain targets in need, what they take is used and the rest is rejected.
 #[tokio::test]
 async fn rate_limits_of_all_plain_targets_are_kept_and_used() {
