Show that a store that comes back from a copy is not followed

Callers get 404 for routes that were added, and requests reach targets that leave, for seconds after the store came back from an older copy: revisions are given out again, and lower ones are ignored.

The stand-in store goes back to a copy and counts its era.

--- a/standins/src/users/store.rs
+++ b/standins/src/users/store.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use http::{StatusCode, Uri};
@@ -25,6 +25,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Store {
     changes: Arc<Mutex<Vec<Change>>>,
+    /// Number of times that the store went back to a copy.
+    restores: Arc<AtomicU64>,
+    /// Whether all calls are rejected.
+    is_down: Arc<AtomicBool>,
     /// Numbers of the VMs whose calls are rejected.
     rejected: Arc<Mutex<Vec<u8>>>,
     /// Kinds whose calls are accepted and never answered.
@@ -102,6 +106,31 @@
         self.unanswered.lock().clear();
     }
 
+    /// Revision of the last change.
+    #[must_use]
+    pub fn revision(&self) -> usize {
+        self.changes.lock().len()
+    }
+
+    /// Rejects all calls and aborts all watches until [`Self::restore`] is called.
+    pub fn go_down(&self) {
+        self.is_down.store(true, Ordering::Relaxed);
+        self.changed.notify_waiters();
+    }
+
+    /// Goes back to a copy that has the changes up to `revision`, starts a new era and serves
+    /// again.
+    pub fn restore(&self, revision: usize) {
+        self.changes.lock().truncate(revision);
+        self.restores.fetch_add(1, Ordering::Relaxed);
+        self.is_down.store(false, Ordering::Relaxed);
+        self.changed.notify_waiters();
+    }
+
+    fn era(&self) -> u64 {
+        1 + self.restores.load(Ordering::Relaxed)
+    }
+
     fn change(&self, kind: &str, name: &str, spec: Option<Value>) {
         let mut changes = self.changes.lock();
         let revision = changes.len() as u64 + 1;
@@ -116,10 +145,17 @@
     }
 
     async fn handle(&self, uri: &Uri, vm: u8) -> Result<HttpResponse, Error> {
+        let mut response = self.answer(uri, vm).await?;
+        let headers = response.headers_mut();
+        headers.insert("store-era", self.era().into());
+        Ok(response)
+    }
+
+    async fn answer(&self, uri: &Uri, vm: u8) -> Result<HttpResponse, Error> {
         if query(uri, "stale_ok") != Some("1") {
             self.full_cost.fetch_add(1, Ordering::Relaxed);
         }
-        if self.rejected.lock().contains(&vm) {
+        if self.is_rejected(vm) {
             return Ok(full_response(StatusCode::SERVICE_UNAVAILABLE, ""));
         }
         let kind = uri.path().trim_start_matches("/objects/").to_owned();
@@ -134,9 +170,13 @@
             .and_then(|w| w.parse().ok())
             .unwrap_or(0);
         let end = time::Instant::now() + Duration::from_millis(wait);
+        let era = self.era();
+        if since > self.revision() as u64 {
+            return Ok(full_response(StatusCode::GONE, ""));
+        }
         loop {
             let changed = self.changed.notified();
-            if self.rejected.lock().contains(&vm) {
+            if self.is_rejected(vm) || self.era() != era {
                 return Err(connection_reset());
             }
             let events = self.events(&kind, since);
@@ -150,6 +190,10 @@
         }
     }
 
+    fn is_rejected(&self, vm: u8) -> bool {
+        self.is_down.load(Ordering::Relaxed) || self.rejected.lock().contains(&vm)
+    }
+
     fn list(&self, kind: &str) -> Value {
         let changes = self.changes.lock();
         let same = changes.iter().filter(|c| c.kind == kind);
