--- a/standins/tests/soak_platform.rs
+++ b/standins/tests/soak_platform.rs
@@ -2,7 +2,7 @@
 //!
 //! While callers send requests, processes are stopped, killed, paused, reloaded and
 //! restarted, targets misbehave, crash and name rate limits, the store rejects calls of single
-//! VMs or never answers calls of one kind, and versions are released; these faults overlap. The
+//! VMs, never answers calls of one kind or comes back from an older copy, and versions are released; these faults overlap. The
 //! test checks the responses that callers receive and the requests that targets receive.
 //! `SOAK_SEEDS=1-16` selects the seeds, at most sixteen per run because each uses addresses of
 //! its own. `SOAK_SECONDS` sets how long faults are injected for each seed.
@@ -45,6 +45,8 @@
 const VMS: std::ops::Range<u8> = 10..40;
 /// Numbers of the VMs with a target of the plain service.
 const DESKS: [u8; 2] = [15, 16];
+/// Objects in the store at the start: the configuration and the targets.
+const OBJECTS: usize = 1 + HOSTS.len() + DESKS.len();
 /// Numbers of the VMs with a gateway.
 const GATEWAYS: [u8; 2] = [20, 21];
 
@@ -135,7 +137,7 @@
     async fn inject_fault(&self, rng: &mut StdRng, nodes: &mut [Node], version: &mut u64) {
         let index = rng.random_range(0..nodes.len());
         let (role, vm) = (nodes[index].role, nodes[index].vm);
-        match rng.random_range(0..13) {
+        match rng.random_range(0..14) {
             0 => {
                 nodes[index].process.kill();
                 nodes[index] = self.start_node(role, vm);
@@ -191,6 +193,7 @@
                 tokio::spawn(send_to(address, "/book/fatal", id));
             }
             11 => self.engines[rng.random_range(0..self.engines.len())].crash(),
+            12 => self.restore_store(rng.random_range(1..6), *version).await,
             _ => {
                 let last = rng.random_range(2..9);
                 let engine = rng.random_range(0..self.engines.len());
@@ -203,6 +206,26 @@
         }
     }
 
+    /// Lets the store go back by up to `lost` changes; then all is written again.
+    async fn restore_store(&self, lost: usize, version: u64) {
+        let written = self.store.revision();
+        self.store.go_down();
+        time::sleep(Duration::from_millis(300)).await;
+        // The copy has at least what was written before the start.
+        self.store
+            .restore(written.saturating_sub(lost).max(OBJECTS));
+        for (vm, service) in targets() {
+            let address = self.net.address(vm, 9000);
+            let loaded = u64::from(service == "llm");
+            let spec = users::target_spec(service, address, loaded);
+            self.store.put("servers", &format!("i-{vm}"), spec);
+        }
+        if version > 1 {
+            let spec = json!({"model": "m0", "version": version});
+            self.store.put("versions", "m0", spec);
+        }
+    }
+
     /// Ends the faults of the store and the targets.
     fn clear_faults(&self) {
         self.store.accept_all();
@@ -218,6 +241,12 @@
     }
 }
 
+/// Numbers of the VMs with a target, and its service.
+fn targets() -> impl Iterator<Item = (u8, &'static str)> {
+    let engines = HOSTS.map(|vm| (vm, "llm"));
+    engines.into_iter().chain(DESKS.map(|vm| (vm, "desk")))
+}
+
 /// Starts a target and registers it in the store.
 async fn start_target(
     net: Subnet,
