Show that gateways take a pause of a target for a failure

Callers saw streams cut and answers with status 502 although the target went on after a pause: a gateway gives up a stream that is silent for a second and a retryable request without a response head after three objectives, also where no other target can take it. Bytes or comments without an event, on the other hand, hold a stream until its deadline while other targets are free.

Simulated targets can now fall silent in single answers (before the head, before the first event, midway, twice, within an event or body) or as a whole process, for a time or for good, cut a connection without closing it, or send bytes or comments without an end.

--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -12,10 +12,11 @@
 use hyper::body::{Frame, Incoming};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time;
 
 pub use origin::{Origin, chunk_data};
+pub use pause::{Pause, Point, Silence};
 pub use store::Store;
 
 use self::server::{
@@ -23,6 +24,7 @@
 };
 
 mod origin;
+mod pause;
 mod server;
 mod store;
 
@@ -98,6 +100,7 @@
     behavior: Arc<Mutex<Behavior>>,
     received: Arc<Mutex<Vec<Received>>>,
     engine: Arc<Mutex<Engine>>,
+    pauses: pause::Pauses,
     /// Whether the target has crashed and is not back yet.
     is_away: watch::Sender<bool>,
 }
@@ -121,6 +124,7 @@
             behavior: Arc::new(Mutex::new(behavior)),
             received: Arc::default(),
             engine: Arc::new(Mutex::new(engine)),
+            pauses: pause::Pauses::default(),
             is_away: watch::Sender::new(false),
         };
         let (served, is_away) = (target.clone(), target.is_away.subscribe());
@@ -201,6 +205,9 @@
             return Err(connection_reset());
         }
         let path = parts.uri.path().to_owned();
+        if is_internal(&path) {
+            self.pauses.wait_while_silent().await;
+        }
         let index = query(&parts.uri, "item_count").and_then(|i| i.parse::<usize>().ok());
         match (path.as_str(), index) {
             ("/report", _) => return Ok(full_response(StatusCode::OK, self.report().to_string())),
@@ -229,7 +236,7 @@
         if expected.is_some_and(|e| e.as_bytes() != own_id.as_bytes()) {
             return Ok(full_response(StatusCode::MISDIRECTED_REQUEST, ""));
         }
-        let path = parts.uri.path().to_owned();
+        let cut = parts.extensions.get::<Arc<Notify>>().cloned();
         let behavior = self.behavior.lock().clone();
         self.received.lock().push(Received {
             uri: parts.uri,
@@ -238,6 +245,8 @@
             ran: behavior != Behavior::Decline,
             at: Instant::now(),
         });
+        let mut answer = self.pauses.begin(cut);
+        answer.before_head().await;
         let mut response = match behavior {
             Behavior::CrashOnPath(text) if path.contains(text) && path.ends_with("/partial") => {
                 let part = stream::once(async { Ok(Frame::data(Bytes::from_static(b"do"))) });
@@ -269,7 +278,7 @@
             "x-corianderramp-server-stamp",
             http::HeaderValue::from_str(&own_id).map_err(|_| connection_reset())?,
         );
-        Ok(response)
+        Ok(answer.apply(response))
     }
 
     async fn respond(
@@ -401,6 +410,11 @@
     }
 }
 
+/// Whether a request is one of the host beside the target.
+fn is_internal(path: &str) -> bool {
+    ["/report", "/order"].contains(&path) || path.starts_with("/stage-")
+}
+
 /// Returns the `spec` of a configuration with a model service `llm`, a plain service `desk`
 /// and the origin of weights at `origin`.
 #[must_use]
--- a/standins/src/users/server.rs
+++ b/standins/src/users/server.rs
@@ -1,6 +1,7 @@
 //! HTTP servers of the simulated platform.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use futures_util::stream::{self, BoxStream, StreamExt};
@@ -11,7 +12,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 pub(super) type Error = std::io::Error;
 pub(super) type HttpResponse =
@@ -50,7 +51,8 @@
     serve_while_up(address, handler, is_away).await;
 }
 
-/// Like [`serve`], but refuses connections while `is_away`.
+/// Like [`serve`], but refuses connections while `is_away`. Each request has an extension
+/// that cuts its connection: it stays open, but is no longer read or written.
 pub(super) async fn serve_while_up<F, R>(
     address: SocketAddr,
     handler: F,
@@ -77,11 +79,20 @@
             };
             let handler = handler.clone();
             tokio::spawn(async move {
-                let service = service_fn(handler);
-                // Tests close connections on purpose.
-                let _ = http1::Builder::new()
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
+                let cut = Arc::new(Notify::new());
+                let extension = cut.clone();
+                let service = service_fn(move |mut request: Request<Incoming>| {
+                    request.extensions_mut().insert(extension.clone());
+                    handler(request)
+                });
+                let connection =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                let mut connection = std::pin::pin!(connection);
+                tokio::select! {
+                    // Tests close connections on purpose.
+                    _ = connection.as_mut() => {}
+                    () = cut.notified() => std::future::pending().await,
+                }
             });
         }
     });
