--- a/standins/tests/support/kept_calls.rs
+++ b/standins/tests/support/kept_calls.rs
@@ -187,6 +187,8 @@
     pub refused: usize,
     pub other: usize,
     pub arrivals: usize,
+    /// Unsafe requests and their arrivals at targets.
+    pub unsafe_sent: (usize, usize),
     /// Answers of targets that paused.
     pub paused: usize,
     /// Longest gap of a whole answer.
@@ -196,6 +198,7 @@
 impl Tally {
     fn add(&mut self, answer: &Answer) {
         self.requests += 1;
+        self.unsafe_sent.0 += usize::from(answer.kind == Kind::Unsafe);
         match answer.status.map(|s| s.as_u16()) {
             Some(200) if answer.is_whole => {
                 self.whole += 1;
@@ -217,6 +220,7 @@
     /// Checks that no request was sent to more targets than could help its caller.
     pub fn assert_sent(&self, helped: usize) {
         assert!(self.arrivals <= self.requests + helped, "{self:?}");
+        assert!(self.unsafe_sent.1 <= self.unsafe_sent.0, "{self:?}");
     }
 }
 
@@ -312,6 +316,11 @@
         self.targets.iter().map(count).sum()
     }
 
+    fn unsafe_arrivals(&self) -> usize {
+        let (_, path) = Kind::Unsafe.call();
+        self.sum(|t| t.received().iter().filter(|r| r.uri.path() == path).count())
+    }
+
     /// Answers in progress at all targets.
     pub fn active(&self) -> usize {
         self.sum(Target::active)
@@ -328,6 +337,7 @@
         duration: Duration,
     ) -> Tally {
         let (arrivals, paused) = (self.sum(|t| t.received().len()), self.sum(Target::paused));
+        let unsafe_arrivals = self.unsafe_arrivals();
         let start = Instant::now();
         let mut tasks = JoinSet::new();
         for number in 0..callers {
@@ -357,6 +367,7 @@
         let mut tally = Tally {
             arrivals: self.sum(|t| t.received().len()) - arrivals,
             paused: self.sum(Target::paused) - paused,
+            unsafe_sent: (0, self.unsafe_arrivals() - unsafe_arrivals),
             ..Tally::default()
         };
         answers.iter().flatten().for_each(|a| tally.add(a));
