Tell the deadline of a stream from a silence of its target in the log

Streams that ended when the caller's time was over were logged as `stream silent`, like those whose target sent nothing for a second: the read's time limit was the smaller of the two and had one reason. The line gives `left`, the time left to the caller, and the reason `deadline`. No decision changes.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -230,6 +230,7 @@
                 Err(_) if begin.is_some_and(|begin| begin <= timeout) => {
                     return ReadResult::Interrupted("weights overdue");
                 }
+                Err(_) if timeout == left => return ReadResult::Interrupted("deadline"),
                 Err(_) => return ReadResult::Interrupted("stream silent"),
             };
             let Ok(data) = frame.into_data() else {
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -49,6 +49,8 @@
     parts: Vec<u64>,
     /// Hash of what is the same when the caller sends the request again.
     fingerprint: u64,
+    /// When the caller must have the final answer; `None` for rejected requests.
+    deadline: Option<Instant>,
     /// When the last bytes were sent to the caller.
     last_sent: Option<Instant>,
     /// Time to the first bytes of the response.
@@ -74,6 +76,7 @@
             tokens: (0, 0),
             parts: Vec::new(),
             fingerprint: 0,
+            deadline: None,
             last_sent: None,
             time_to_first: Duration::ZERO,
             max_pause: Duration::ZERO,
@@ -127,6 +130,7 @@
             sends = self.trace.sends,
             asks = self.trace.asks,
             resumed = self.resumed,
+            left = self.deadline.map(|at| millis(at.saturating_duration_since(now))),
             reason = self.trace.reason,
             parts = parts.as_str(),
             fingerprint = fingerprint.as_str(),
@@ -255,6 +259,7 @@
             fingerprints: Vec::new(),
             deadline,
         };
+        record.deadline = Some(deadline);
         let left = deadline.saturating_duration_since(self.clock.now());
         let read = time::timeout(left, Limited::new(body, limit).collect()).await;
         call.body = match read {
