Listen to a silent target while another one is looked for

Callers saw streams cut after a second of silence and answers given up with 502 or 504 that would have come: a silence was taken for a failure of the target. Class: a timeout of one attempt that ends the request although nothing is better than waiting.

A pause now starts a second attempt beside the first one (a hedged request) where the route's kind, attempts and the retry budget allow it and another target has a place. The first of the two that has something for the caller wins and the other one is cancelled; without another place the gateway listens until the caller's or the route's time ends. place::patience decides when a look elsewhere pays, from the time after which callers leave (2 s, four objectives or eight times the longest timely pause) less two objectives, in which the second target finds a place and makes its first event; for other answers, three objectives as before. The longest timely pause of a route is read from the configuration.

A silence is no failure of the target: it is chosen last while requests wait for it, and after it was given up for as long as it had been silent, unless it answers another one. An event ends a silence; bytes and comments alone do not, so a target that sends one now and then loses its streams in time. Comments stay in the body, before the next event. A connection is opened with a short limit only while there is another target. The target that fails while another one has been asked is still reported.

Ruled out: a longer fixed limit (cuts the next longer pause, and dead targets too late), and asking elsewhere at once at each pause (arrivals without use). Old weights stay a reason to end an attempt: a request must not begin on them beyond their limit; that is no longer recorded against the target.

--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -37,16 +37,21 @@
 
     /// Takes one retry from the budget; returns whether the retry is allowed.
     pub fn try_retry(&mut self, now: Instant) -> bool {
-        self.advance(now);
-        let requests: f64 = self.requests.iter().sum();
-        let retries: f64 = self.retries.iter().sum();
-        let allowed = retries + 1.0 <= (requests * RETRY_RATIO).max(MIN_RETRIES);
+        let allowed = self.has_room(now);
         if allowed {
             self.retries[0] += 1.0;
         }
         allowed
     }
 
+    /// Returns whether a retry is allowed now.
+    pub fn has_room(&mut self, now: Instant) -> bool {
+        self.advance(now);
+        let requests: f64 = self.requests.iter().sum();
+        let retries: f64 = self.retries.iter().sum();
+        retries + 1.0 <= (requests * RETRY_RATIO).max(MIN_RETRIES)
+    }
+
     fn advance(&mut self, now: Instant) {
         let age = now.saturating_duration_since(self.window_start);
         if age < WINDOW {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -86,11 +86,12 @@
 }
 
 /// How the requests of a route may be retried.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RouteKind {
     /// Requests may run more than once.
     Idempotent,
     /// Requests run at most once for each attempt of the caller.
+    #[default]
     AtMostOnce,
     /// The response is a stream of events.
     Stream {
@@ -112,7 +113,7 @@
 }
 
 /// Maps requests of a host and path prefix to services, with their time limits.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Route {
     /// Name for logs.
     pub name: String,
@@ -127,6 +128,9 @@
     pub timeout: Duration,
     /// Latency objective: time to the complete response or, for streams, to the first event.
     pub objective: Duration,
+    /// Longest pause between two events of a stream that is on time; zero if none is stated.
+    #[serde(default, rename = "pause")]
+    pub max_pause: Duration,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Maximum number of targets to which one attempt of a caller is sent.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -31,13 +31,16 @@
 mod agents;
 mod answer;
 mod attempt;
+mod call;
 mod crashes;
 mod events;
 mod guard;
 mod handle;
+mod hedge;
 mod limits;
 mod probe;
 mod server;
+mod source;
 
 /// Time from SIGTERM until no new connections are accepted. Two readiness probes, one
 /// second apart, must fail before that.
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -13,7 +13,7 @@
 
 use crate::clock::Clock;
 use crate::gateway::Gateway;
-use crate::gateway::attempt::Call;
+use crate::gateway::call::Call;
 use crate::gateway::guard::SlotGuard;
 use crate::net;
 use crate::node::message::{Body, CrashReport, SoundParts, TargetDeath};
--- a/src/gateway/events_test.rs
+++ b/src/gateway/events_test.rs
@@ -46,3 +46,23 @@
     assert_eq!(splitter.last_id(), Some(5));
     assert!(!splitter.is_complete());
 }
+
+/// Guards against a stalled target that sends a comment now and then and counts as sound: a
+/// comment alone is no answer, but stays part of the body.
+#[test]
+fn comments_are_held_back_until_the_next_event() {
+    let mut splitter = Splitter::after(None);
+    for _ in 0..3 {
+        let forwarded = splitter.push(&Bytes::from_static(b": wait\n\n"));
+        assert_eq!(forwarded.as_deref(), Some(&b""[..]));
+        assert!(splitter.is_complete());
+    }
+    let forwarded = splitter.push(&Bytes::from_static(b"id: 1\ndata: x\n\n: e"));
+    let expected = b": wait\n\n: wait\n\n: wait\n\nid: 1\ndata: x\n\n";
+    assert_eq!(forwarded.as_deref(), Some(&expected[..]));
+    assert!(!splitter.is_complete());
+    let forwarded = splitter.push(&Bytes::from_static(b"nd\n\n"));
+    assert_eq!(forwarded.as_deref(), Some(&b""[..]));
+    assert_eq!(splitter.take_comments().as_ref(), b": end\n\n");
+    assert!(splitter.is_complete());
+}
--- a/src/gateway/guard.rs
+++ b/src/gateway/guard.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 use crate::clock::Clock;
 use crate::gateway::Gateway;
@@ -56,6 +57,43 @@
     }
 }
 
+/// A request that waits for a silent target; dropping it ends the silence.
+#[derive(Debug)]
+pub struct SilenceGuard<C: Clock> {
+    gateway: Arc<Gateway<C>>,
+    key: TargetKey,
+    since: Instant,
+    is_given_up: bool,
+}
+
+impl<C: Clock> SilenceGuard<C> {
+    /// Counts the silence of a target since `since` until the guard is dropped.
+    pub fn begin(gateway: &Arc<Gateway<C>>, key: TargetKey, since: Instant) -> Self {
+        gateway.pool.lock().begin_silence(key);
+        Self {
+            gateway: gateway.clone(),
+            key,
+            since,
+            is_given_up: false,
+        }
+    }
+
+    /// Records that the request does not wait for the target any longer.
+    pub fn give_up(&mut self) {
+        self.is_given_up = true;
+    }
+}
+
+impl<C: Clock> Drop for SilenceGuard<C> {
+    fn drop(&mut self) {
+        let now = self.gateway.clock.now();
+        let silence = now.saturating_duration_since(self.since);
+        let given_up = self.is_given_up.then_some(silence);
+        let mut pool = self.gateway.pool.lock();
+        pool.end_silence(self.key, given_up, now);
+    }
+}
+
 /// A request in progress, for which the graceful shutdown waits.
 #[derive(Debug)]
 pub struct ActiveRequest<C: Clock> {
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -5,20 +5,23 @@
 
 use bytes::Bytes;
 use futures_util::stream::Stream;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, header, response};
 use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 use log::info;
 use metrics::{counter, histogram};
+use parking_lot::Mutex;
 use rand::RngExt;
 use tokio::time;
 
 use crate::clock::Clock;
 use crate::fleet::{self, Account, routes};
 use crate::gateway::Gateway;
-use crate::gateway::answer::{self, BodyError, Interrupted, Relay};
-use crate::gateway::attempt::{self, Call, PlacementError, TargetResponse, Trace};
+use crate::gateway::answer::{Interrupted, Relay};
+use crate::gateway::attempt::PlacementError;
+use crate::gateway::call::{Call, Trace};
 use crate::gateway::guard::ActiveRequest;
+use crate::gateway::hedge::Answer;
 use crate::place::backoff::RefusalRate;
 use crate::platform::request;
 
@@ -40,7 +43,7 @@
     outcome: &'static str,
     status: u16,
     /// Attempts so far.
-    pub trace: Trace,
+    pub trace: Mutex<Trace>,
     /// Number of times that another target continued the stream.
     pub resumed: u32,
     /// Prompt length and expected answer length, tokens.
@@ -49,8 +52,8 @@
     parts: Vec<u64>,
     /// Hash of what is the same when the caller sends the request again.
     fingerprint: u64,
-    /// When the caller must have the final answer; `None` for rejected requests.
-    deadline: Option<Instant>,
+    /// When the caller or the route stops waiting; `None` for rejected requests.
+    end: Option<Instant>,
     /// When the last bytes were sent to the caller.
     last_sent: Option<Instant>,
     /// Time to the first bytes of the response.
@@ -71,12 +74,12 @@
             // Stays only if the caller disconnects; every other end sets an outcome.
             outcome: "caller left",
             status: 0,
-            trace: Trace::default(),
+            trace: Mutex::default(),
             resumed: 0,
             tokens: (0, 0),
             parts: Vec::new(),
             fingerprint: 0,
-            deadline: None,
+            end: None,
             last_sent: None,
             time_to_first: Duration::ZERO,
             max_pause: Duration::ZERO,
@@ -93,6 +96,11 @@
         }
     }
 
+    /// Whether the caller's answer was ended before it was complete.
+    pub fn is_given_up(&self) -> bool {
+        [BROKEN_OFF, OUT_OF_TIME].contains(&self.outcome)
+    }
+
     /// Sets the outcome of the request.
     pub fn set_outcome(&mut self, outcome: &'static str) {
         self.outcome = outcome;
@@ -109,7 +117,8 @@
             histogram!("corianderramp_gateway_first_seconds").record(self.time_to_first);
         }
         // Targets that die together are traced by what their requests have in common.
-        let is_traced = !self.trace.reason.is_empty() || self.outcome == CRASHES_TARGETS.outcome;
+        let trace = self.trace.get_mut();
+        let is_traced = !trace.reason.is_empty() || self.outcome == CRASHES_TARGETS.outcome;
         let (parts, fingerprint) = if is_traced {
             let parts: Vec<String> = self.parts.iter().map(|p| format!("{p:016x}")).collect();
             (parts.join(","), format!("{:016x}", self.fingerprint))
@@ -126,12 +135,14 @@
             pause = millis(self.max_pause),
             prompt = self.tokens.0,
             answer = self.tokens.1,
-            target = self.trace.target.as_str(),
-            sends = self.trace.sends,
-            asks = self.trace.asks,
+            target = trace.target.as_str(),
+            sends = trace.sends,
+            asks = trace.asks,
+            hedges = trace.hedges,
             resumed = self.resumed,
-            left = self.deadline.map(|at| millis(at.saturating_duration_since(now))),
-            reason = self.trace.reason,
+            silence = millis(trace.silence),
+            left = self.end.map(|at| millis(at.saturating_duration_since(now))),
+            reason = trace.reason,
             parts = parts.as_str(),
             fingerprint = fingerprint.as_str(),
             config = self.config_version;
@@ -141,7 +152,7 @@
 }
 
 /// Whole milliseconds, for logs.
-fn millis(time: Duration) -> u64 {
+pub(super) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
@@ -183,6 +194,10 @@
 
 /// Outcome when no target serves the request.
 const NO_TARGET: &str = "no target";
+/// Outcome of a stream whose target failed, with no other one to continue it.
+pub(super) const BROKEN_OFF: &str = "broken off";
+/// Outcome of a stream whose target was silent until the caller's time ended.
+pub(super) const OUT_OF_TIME: &str = "out of time";
 
 type FullResponse = Response<Full<Bytes>>;
 
@@ -204,8 +219,7 @@
         };
         let mut response = match result {
             Ok(Reply::Full(response)) => response.map(Either::Left),
-            Ok(Reply::Stream(mut relay)) => {
-                let head = relay.take_head();
+            Ok(Reply::Stream(head, relay)) => {
                 Response::from_parts(head, Either::Right(StreamBody::new(relay.into_stream())))
             }
             Err((refusal, mut record)) => refusal_response(refusal, &mut record).map(Either::Left),
@@ -241,6 +255,7 @@
             .timeout
             .unwrap_or(DEFAULT_TIMEOUT)
             .min(route.timeout);
+        let end = record.start + timeout;
         let deadline = record.start + timeout.saturating_sub(RESPONSE_MARGIN);
         let account_priority = account.and_then(|a| a.priority);
         let service = routes::select_service(route, &caller_headers.request_id).ok_or(NO_ROUTE)?;
@@ -257,9 +272,10 @@
             headers: parts.headers,
             body: Bytes::new(),
             fingerprints: Vec::new(),
+            start: record.start,
             deadline,
         };
-        record.deadline = Some(deadline);
+        record.end = Some(end);
         let left = deadline.saturating_duration_since(self.clock.now());
         let read = time::timeout(left, Limited::new(body, limit).collect()).await;
         call.body = match read {
@@ -278,86 +294,40 @@
     /// Sends a request to targets, with retries, until one response can be returned.
     async fn serve(
         self: &Arc<Self>,
-        mut call: Call,
+        call: Call,
         mut record: Record<C>,
     ) -> Result<Reply<C>, (Refusal, Record<C>)> {
         if self.is_quarantined(&call) {
             return Err((CRASHES_TARGETS, record));
         }
         self.retry_budget.lock().record_request(self.clock.now());
-        loop {
-            let last_event = call.caller_headers.last_event;
-            let response = self
-                .send_with_retries(&call, &mut record.trace, last_event)
-                .await;
-            let response = match response {
-                Ok(response) => response,
-                Err(error) => {
-                    let refusal = self.refusal(&call, &record.trace, error);
-                    return Err((refusal, record));
-                }
-            };
-            let now = self.clock.now();
-            self.refusals.lock().record(true, now);
-            let is_failed = response.head.status.is_server_error();
-            if is_failed {
-                response.slot.record_result(false);
-                record.trace.reason = "target failed";
-                record.trace.may_have_run = true;
-                if self.can_retry(&call, &record.trace) {
-                    continue;
-                }
-            }
-            if attempt::is_stream(&call) && response.head.status.is_success() {
-                record.status = response.head.status.as_u16();
-                let mut relay = Relay::new(self, call, response, record);
-                let Err(reason) = relay.read_first().await else {
-                    return Ok(Reply::Stream(Box::new(relay)));
-                };
-                (call, record) = relay.into_parts();
-                record.trace.reason = reason;
-                record.trace.may_have_run = true;
-                if !self.can_retry(&call, &record.trace) {
-                    let refusal = self.refusal(&call, &record.trace, PlacementError::NoTarget);
-                    return Err((refusal, record));
-                }
-                continue;
+        let last_event = call.caller_headers.last_event;
+        let obtained = self.obtain(&call, &record.trace, last_event).await;
+        let answer = match obtained {
+            Ok(answer) => answer,
+            Err(error) => {
+                let refusal = self.refusal(&call, &record.trace.lock(), error);
+                return Err((refusal, record));
             }
-            if let Ok(response) = self.buffer_response(&call, response, &mut record).await {
-                return Ok(Reply::Full(response));
-            }
-            record.trace.reason = "answer broke off";
-            record.trace.may_have_run = true;
-            if !self.can_retry(&call, &record.trace) {
-                return Err((INTERRUPTED, record));
-            }
-        }
-    }
-
-    /// Reads a complete response. Fails when its body is interrupted.
-    async fn buffer_response(
-        self: &Arc<Self>,
-        call: &Call,
-        mut response: TargetResponse<C>,
-        record: &mut Record<C>,
-    ) -> Result<FullResponse, BodyError> {
-        let left = call.deadline.saturating_duration_since(self.clock.now());
-        let body = answer::read_body(&mut response, left).await;
-        let is_success = body.is_ok() && !response.head.status.is_server_error();
-        response.slot.record_result(is_success);
-        if body == Err(BodyError::Broke) {
-            self.report_broken(call, &response.slot);
-        }
-        let body = body?;
-        if is_success {
-            self.record_sound(call);
-        }
-        let mut head = response.head;
+        };
+        self.refusals.lock().record(true, self.clock.now());
+        let Answer {
+            mut head,
+            bytes,
+            source,
+        } = answer;
         request::prepare_response(&mut head.headers);
         record.status = head.status.as_u16();
+        if call.is_stream() && head.status.is_success() {
+            let relay = Relay::new(self, call, bytes, source, record);
+            return Ok(Reply::Stream(head, Box::new(relay)));
+        }
+        if !head.status.is_server_error() {
+            self.record_sound(&call);
+        }
         record.record_bytes();
         record.set_outcome("served");
-        Ok(Response::from_parts(head, Full::new(body)))
+        Ok(Reply::Full(Response::from_parts(head, Full::new(bytes))))
     }
 
     /// Returns the refusal of a request that got no response from a target.
@@ -432,7 +402,7 @@
 /// Response to a caller.
 enum Reply<C: Clock> {
     Full(FullResponse),
-    Stream(Box<Relay<C>>),
+    Stream(response::Parts, Box<Relay<C>>),
 }
 
 fn route_index(routes: &[fleet::Route], route: &fleet::Route) -> usize {
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Clock;
 use crate::gateway::Gateway;
-use crate::gateway::attempt::Call;
+use crate::gateway::call::Call;
 use crate::node::message::{Body, RateLimit};
 use crate::place::handover::HostProcess;
 use crate::place::limit::{Notice, Permit};
--- a/src/place.rs
+++ b/src/place.rs
@@ -6,6 +6,7 @@
 pub mod handover;
 pub mod limit;
 pub mod pace;
+pub mod patience;
 pub mod pool;
 pub mod quarantine;
 pub mod slots;
--- a/src/place/pool.rs
+++ b/src/place/pool.rs
@@ -73,6 +73,9 @@
     pub failure_rate: f64,
     /// Until when the target is chosen last.
     pub avoid_until: Option<Instant>,
+    /// Requests of this gateway for which another target is looked for, because this one is
+    /// silent. It is chosen last meanwhile.
+    pub silent: u32,
     /// Hash of the target's lifetime, the same at all gateways.
     pub lifetime: u64,
     /// What the target last said of its rate limit.
@@ -119,7 +122,7 @@
     }
 
     fn is_avoided(&self, now: Instant) -> bool {
-        self.avoid_until.is_some_and(|until| now < until)
+        self.silent > 0 || self.avoid_until.is_some_and(|until| now < until)
     }
 }
 
@@ -180,6 +183,7 @@
                         failures: 0,
                         failure_rate: 0.0,
                         avoid_until: None,
+                        silent: 0,
                         lifetime: Lifetime::new(&known.value).fingerprint(),
                         limit: None,
                         limited_until: None,
@@ -289,6 +293,28 @@
         }
     }
 
+    /// Counts a request that has waited for the silent target so long that another one is looked
+    /// for.
+    pub fn begin_silence(&mut self, key: TargetKey) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.silent += 1;
+        }
+    }
+
+    /// Counts the end of the silence for one request. `given_up` is its length if the request
+    /// did not wait for the target to go on; the target is then chosen last for as long, unless
+    /// it answers another request. A silence alone counts as no failure: sound targets pause.
+    pub fn end_silence(&mut self, key: TargetKey, given_up: Option<Duration>, now: Instant) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        entry.silent = entry.silent.saturating_sub(1);
+        if let Some(silence) = given_up {
+            let until = now + silence;
+            entry.avoid_until = Some(entry.avoid_until.map_or(until, |at| at.max(until)));
+        }
+    }
+
     /// Returns the target with the lowest cost for a request; `None` when no target can take
     /// it. `draw` returns uniform random numbers in 0..1, which spread the requests of all
     /// gateways over equal targets.
@@ -310,6 +336,15 @@
         best.map(|(_, key)| key)
     }
 
+    /// Returns whether at least two targets could take a request now.
+    #[must_use]
+    pub fn has_choice(&self, needs: &Requirements<'_>, now: Instant) -> bool {
+        let usable = self.entries.iter().filter(|(key, e)| {
+            is_candidate(e, needs) && !needs.excluded.contains(key) && has_room(e, needs, now)
+        });
+        usable.take(2).count() == 2
+    }
+
     /// Returns the time until a rate limit leaves room for the request at one of the targets that
     /// are not excluded; `None` unless limits alone keep it from all of them.
     #[must_use]
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -67,7 +67,7 @@
 
 /// All metrics that the processes export. docs/operations/metrics.md says what to do
 /// when one of them changes.
-pub const METRICS: [Metric; 26] = [
+pub const METRICS: [Metric; 27] = [
     Metric {
         name: REQUESTS_TOTAL,
         kind: Type::Counter,
@@ -188,6 +188,12 @@
         labels: &["result"],
         help: "Requests sent to targets, by result",
     },
+    Metric {
+        name: "corianderramp_gateway_hedges_total",
+        kind: Type::Counter,
+        labels: &["result"],
+        help: "Requests sent to another target beside a silent one, by result",
+    },
     Metric {
         name: "corianderramp_gateway_asks_total",
         kind: Type::Counter,
