Let a stream use all of its caller's time

Streams were cut 20 ms before the time of the caller or the route ended, and targets were told of that earlier end. The margin leaves time for an answer of the gateway's own, which a stream that has begun has no use for: the cut came while the caller was still waiting for the last events.

Streams now end with the caller's or the route's time. The test failed before (no request of 50 told the target of more than 2480 of 2500 ms).

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -86,7 +86,7 @@
                 since: self.gateway.clock.now(),
                 last_event: self.last_event,
                 can_move: self.last_event.is_some(),
-                end: self.call.deadline,
+                end: self.call.end,
             };
             let read = source.read_or_report(&self.gateway, &self.call);
             let trace = &self.record.trace;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -268,11 +268,16 @@
                 return Err(SendError::NotRun("no connection"));
             }
         };
+        let end = if call.is_stream() {
+            call.end
+        } else {
+            call.deadline
+        };
         let target_headers = TargetHeaders {
             id: &id,
             weights,
             account: call.account.as_deref(),
-            timeout: call.deadline.saturating_duration_since(self.clock.now()),
+            timeout: end.saturating_duration_since(self.clock.now()),
             urgency: call.has_engine().then(|| urgency(call.priority)),
             last_event,
         };
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -40,6 +40,9 @@
     pub start: Instant,
     /// When the caller must have the final answer.
     pub deadline: Instant,
+    /// When the caller or the route stops waiting; a stream in progress ends then. A little later
+    /// than the deadline, which leaves time for a refusal.
+    pub end: Instant,
 }
 
 impl Call {
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -274,6 +274,7 @@
             fingerprints: Vec::new(),
             start: record.start,
             deadline,
+            end,
         };
         record.end = Some(end);
         let left = deadline.saturating_duration_since(self.clock.now());
--- a/standins/tests/users_platform.rs
+++ b/standins/tests/users_platform.rs
@@ -111,6 +111,25 @@
     }
 }
 
+/// A stream that needs all of the caller's time was cut 20 ms before its end, which only an answer
+/// of the gateway's own needs.
+#[tokio::test]
+async fn stream_may_use_all_of_its_callers_time() {
+    let fleet = Fleet::start(19).await;
+    let engine = fleet.target(10, "llm", 1, Behavior::Stream(1, 10)).await;
+    fleet.host(10);
+    let gateway = fleet.gateway(20);
+    let mut most = 0;
+    // A busy machine takes a part of the time itself.
+    for _ in 0..50 {
+        call_until_ok(gateway, Method::POST, "/plan/x").await;
+        let received = engine.received();
+        let header = &received.last().unwrap().headers["x-corianderramp-deadline-ms"];
+        most = most.max(header.to_str().unwrap().parse::<u64>().unwrap());
+    }
+    assert!(most > 2_480, "{most} ms of 2500");
+}
+
 /// A response with the id of another request must not be forwarded to any caller.
 #[tokio::test]
 async fn response_to_another_request_is_not_forwarded() {
