Apply new time limits of callers to open connections

Callers saw connections closed that the newer configuration let them reuse: a connection kept the idle and header limits under which it was opened. A slow head held its connection for the idle limit and ended without an answer.

The limits in force are now published to all connections. Connections track what they wait for (a request, the rest of its head, the response), so a request in progress is not cut. A shortened idle limit applies once callers have had the time to learn of it. Before an idle connection is closed, the socket is asked for bytes that have arrived. A slow head is refused with 408.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,12 +8,13 @@
 use rand::RngExt;
 use snafu::{OptionExt, ResultExt};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
 use crate::entry::retry;
+use crate::fleet;
 use crate::node::follow;
 use crate::node::freshness::StoreContact;
 use crate::node::settings::{Listen, Settings};
@@ -31,6 +32,7 @@
 mod agents;
 mod answer;
 mod attempt;
+mod connection;
 mod crashes;
 mod events;
 mod guard;
@@ -72,6 +74,8 @@
     /// Permits for targets about which no host decides.
     limits: Mutex<Limits>,
     bounds: crate::node::settings::Bounds,
+    /// Limits in force for callers' connections.
+    caller_limits: watch::Sender<fleet::Limits>,
     /// Cancelled at the start of the shutdown.
     stopping: CancellationToken,
     /// Cancelled when open connections must be closed.
@@ -120,6 +124,7 @@
         limit_holders: Mutex::default(),
         limits: Mutex::default(),
         bounds: settings.bounds.clone(),
+        caller_limits: watch::Sender::default(),
         stopping: CancellationToken::new(),
         closing: CancellationToken::new(),
         active: std::sync::atomic::AtomicUsize::new(0),
@@ -131,6 +136,7 @@
         tokio::spawn(telemetry::serve(listener, gateway.clone(), shutdown));
     }
     tokio::spawn(gateway.clone().sync_pool());
+    tokio::spawn(gateway.clone().follow_limits());
     tokio::spawn(gateway.clone().receive_messages());
     tokio::spawn(gateway.clone().send_subscriptions());
     tokio::spawn(probe::serve(probe_listener, gateway.clone()));
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,27 +1,34 @@
 //! HTTP server for callers.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Poll, ready};
 use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use log::warn;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
 
 use crate::clock::Clock;
+use crate::fleet::Limits;
 use crate::gateway::Gateway;
+use crate::gateway::connection::{GuardedBody, Progress, Socket, Stage};
 use crate::net;
+use crate::place::idle;
 
 /// Pause after a failed accept. Without it, a lack of file descriptors causes a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Time added to the configured idle timeout. Callers may use a connection until the
-/// timeout, and such a request must not arrive at a connection that is being closed.
-const IDLE_MARGIN: Duration = Duration::from_secs(2);
 /// Smallest read buffer that hyper accepts, bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Refusal of a request whose head took too long; no target has run it.
+const SLOW_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// Serves callers until the task is aborted.
 pub async fn run<C: Clock>(listener: TcpListener, gateway: Arc<Gateway<C>>) {
@@ -44,29 +51,113 @@
     }
 }
 
+/// How the service of a connection ends.
+enum End {
+    /// The connection is closed, or failed.
+    Finished,
+    /// A request head took too long.
+    SlowHead,
+}
+
 async fn serve_connection<C: Clock>(stream: TcpStream, gateway: Arc<Gateway<C>>) {
-    let catalog = gateway.catalog.snapshot();
-    let limits = catalog
-        .config
-        .as_ref()
-        .map(|c| c.limits)
-        .unwrap_or_default();
-    drop(catalog);
+    let progress = Progress::new(gateway.clock.clone());
+    let mut limits = gateway.caller_limits.subscribe();
     let closing = gateway.closing.clone();
-    let service = service_fn(move |request| {
-        let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(gateway.handle(request).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout) + IDLE_MARGIN)
-        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES) * 2)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    // An error on a connection affects only its caller, so it isn't logged.
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = closing.cancelled() => connection.as_mut().graceful_shutdown(),
+    let service = {
+        let (gateway, progress) = (gateway.clone(), progress.clone());
+        service_fn(move |request| {
+            let gateway = gateway.clone();
+            let guard = progress.begin_response();
+            async move {
+                let response = gateway.handle(request).await;
+                Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
+            }
+        })
+    };
+    let socket = Socket::new(stream, progress.clone());
+    let mut connection = http1::Builder::new()
+        .max_buf_size(limits.borrow().head_bytes.max(MIN_BUFFER_BYTES) * 2)
+        .serve_connection(TokioIo::new(socket), service);
+    let mut timer = std::pin::pin!(time::sleep(Duration::ZERO));
+    let mut is_closing = false;
+    let end = loop {
+        let current = *limits.borrow_and_update();
+        // The stage changes only while the connection is polled, so the timer is set after that.
+        let serve = poll_fn(|cx| {
+            loop {
+                // An error on a connection affects only its caller, so it isn't logged.
+                if Pin::new(&mut connection).poll(cx).is_ready() {
+                    return Poll::Ready(End::Finished);
+                }
+                let Some(deadline) = progress.deadline(&current) else {
+                    return Poll::Pending;
+                };
+                let deadline = time::Instant::from_std(deadline);
+                if timer.deadline() != deadline {
+                    timer.as_mut().reset(deadline);
+                }
+                ready!(timer.as_mut().poll(cx));
+                if progress.stage() == Stage::Head {
+                    return Poll::Ready(End::SlowHead);
+                }
+                if progress.is_expired() {
+                    // A request has arrived, of which the runtime is about to learn.
+                    cx.waker().wake_by_ref();
+                    return Poll::Pending;
+                }
+                progress.expire();
+            }
+        });
+        tokio::select! {
+            end = serve => break end,
+            Ok(()) = limits.changed() => {}
+            () = closing.cancelled(), if !is_closing => {
+                is_closing = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+        }
+    };
+    if let End::SlowHead = end {
+        let mut socket = connection.into_parts().io.into_inner();
+        // The caller may have left.
+        let _ = socket.write_all(SLOW_HEAD_RESPONSE).await;
+        let _ = socket.shutdown().await;
+    }
+}
+
+impl<C: Clock> Gateway<C> {
+    /// Applies the limits of each configuration to open connections.
+    pub(super) async fn follow_limits(self: Arc<Self>) {
+        let delay = self.bounds.config_limit();
+        let mut snapshots = self.catalog.subscribe();
+        let mut idle_limit = idle::Limit::new(self.caller_limits.borrow().idle_timeout);
+        loop {
+            let snapshot = snapshots.borrow_and_update().clone();
+            let now = self.clock.now();
+            if let Some(config) = &snapshot.config {
+                idle_limit.set(config.limits.idle_timeout, now, delay);
+                let limits = Limits {
+                    idle_timeout: idle_limit.current(now),
+                    ..config.limits
+                };
+                self.caller_limits.send_if_modified(|current| {
+                    let is_new = *current != limits;
+                    *current = limits;
+                    is_new
+                });
+            }
+            drop(snapshot);
+            let next = idle_limit.next_change(now).map(time::Instant::from_std);
+            let wait = async {
+                match next {
+                    Some(next) => time::sleep_until(next).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                changed = snapshots.changed() => if changed.is_err() { return },
+                () = wait => {}
+            }
+        }
     }
-    let _ = connection.await;
 }
--- a/src/place.rs
+++ b/src/place.rs
@@ -4,6 +4,7 @@
 pub mod backoff;
 pub mod death;
 pub mod handover;
+pub mod idle;
 pub mod limit;
 pub mod pace;
 pub mod pool;
