Apply new head sizes to open connections

Callers of a kept connection got 431 for heads that the newer configuration allows, as the connection kept the bound of its start. The other way round, heads of up to twice the limit, or the limit of the start, were served.

The head of each request is now compared with the limit in force, and the buffer of a connection leaves room for larger heads. A refused request is logged as any other.

Before, of standins/tests/changed_config.rs: 60 kB under a limit raised from 8,192 to 100,000 bytes, 431 instead of 200; 21 kB under a limit lowered from 40,000 to 20,000 bytes, 200 instead of 431. Both pass now.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -168,6 +168,10 @@
 };
 const NO_ROUTE: Refusal = Refusal::new(StatusCode::NOT_FOUND, "no route");
 const UNKNOWN_KEY: Refusal = Refusal::new(StatusCode::UNAUTHORIZED, "unknown key");
+const HEAD_TOO_LARGE: Refusal = Refusal::new(
+    StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+    "head too large",
+);
 const BODY_TOO_LARGE: Refusal = Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
 const BODY_NOT_RECEIVED: Refusal = Refusal::new(StatusCode::BAD_REQUEST, "body not received");
 const SLOW_BODY: Refusal = Refusal::new(StatusCode::REQUEST_TIMEOUT, "body too slow");
@@ -227,6 +231,9 @@
         let catalog = self.catalog.snapshot();
         let config = catalog.config.clone().ok_or(NO_CONFIG)?;
         record.config_version = config.version;
+        if request::head_bytes(&parts) > config.limits.head_bytes {
+            return Err(HEAD_TOO_LARGE);
+        }
         let host = parts.headers.get(header::HOST);
         let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
         let host = host.split(':').next().unwrap_or_default();
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -24,8 +24,9 @@
 
 /// Pause after a failed accept. Without it, a lack of file descriptors causes a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Smallest read buffer that hyper accepts, bytes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Smallest bound of the buffer for a request head, bytes. The bound of an open connection
+/// can't change, so it leaves room for a later configuration that allows larger heads.
+const MIN_BUFFER_BYTES: usize = 1024 * 1024;
 /// Refusal of a request whose head took too long; no target has run it.
 const SLOW_HEAD_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
-use http::{Method, Uri};
+use http::{Method, Uri, request};
 use xxhash_rust::xxh3;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-corianderramp-request-id");
@@ -28,6 +28,25 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
+/// Returns the size of a request head, bytes. Spaces beside the values don't count.
+///
+/// ```
+/// use corianderramp::platform::request;
+/// use http::Request;
+///
+/// let (parts, ()) = Request::get("/a?b").header("host", "c").body(()).unwrap().into_parts();
+/// let head = "GET /a?b HTTP/1.1\r\nhost: c\r\n\r\n";
+/// assert_eq!(request::head_bytes(&parts), head.len());
+/// ```
+#[must_use]
+pub fn head_bytes(parts: &request::Parts) -> usize {
+    let target = parts.uri.path_and_query().map_or(0, |t| t.as_str().len());
+    let line = parts.method.as_str().len() + target + "  HTTP/1.1\r\n".len();
+    let headers = parts.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    line + headers.sum::<usize>() + "\r\n".len()
+}
+
 /// Values read from a caller's request headers.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CallerHeaders {
--- a/standins/tests/changed_config.rs
+++ b/standins/tests/changed_config.rs
@@ -102,6 +102,40 @@
     assert_eq!(check(&mut channel, "b", "").await, Ok(200));
 }
 
+/// A connection that kept the head size under which it was opened refused heads that the
+/// newer configuration allows.
+#[tokio::test]
+async fn raised_head_limit_applies_to_open_connections() {
+    let fleet = Fleet::start(3).await;
+    let _desk = fleet.target(10, "desk", 0, Behavior::Respond("ok")).await;
+    let gateway = fleet.gateway(20);
+    apply(&fleet, gateway, 2, &json!({"max_header_bytes": 8192})).await;
+    let mut channel = Channel::open(gateway).await.unwrap();
+    assert_eq!(check(&mut channel, "a", "").await, Ok(200));
+    apply(&fleet, gateway, 3, &json!({"max_header_bytes": 100_000})).await;
+    let large = padding(60_000);
+    assert_eq!(check(&mut channel, "b", &large).await, Ok(200));
+}
+
+/// A head over the limit in force must be refused with 431, on open connections too; up to
+/// twice the limit was accepted, and more than the limit of the connection's start.
+#[tokio::test]
+async fn lowered_head_limit_applies_to_open_connections() {
+    let fleet = Fleet::start(4).await;
+    let _desk = fleet.target(10, "desk", 0, Behavior::Respond("ok")).await;
+    let gateway = fleet.gateway(20);
+    apply(&fleet, gateway, 2, &json!({"max_header_bytes": 40_000})).await;
+    let mut channel = Channel::open(gateway).await.unwrap();
+    assert_eq!(check(&mut channel, "a", &padding(30_000)).await, Ok(200));
+    apply(&fleet, gateway, 3, &json!({"max_header_bytes": 20_000})).await;
+    assert_eq!(check(&mut channel, "b", &padding(19_000)).await, Ok(200));
+    assert_eq!(check(&mut channel, "c", &padding(21_000)).await, Ok(431));
+    let mut fresh = Channel::open(gateway).await.unwrap();
+    assert_eq!(check(&mut fresh, "d", &padding(21_000)).await, Ok(431));
+    let mut fresh = Channel::open(gateway).await.unwrap();
+    assert_eq!(check(&mut fresh, "e", &padding(200_000)).await, Ok(431));
+}
+
 /// A head that arrives byte by byte held its connection for the idle limit, and a connection
 /// kept the limit of its start. The request is not run, which 408 tells the caller.
 #[tokio::test]
