Let refusals reach callers that still write their body

A caller whose request was refused before its body was read (404, 401, 413) saw its connection reset instead of the refusal: the socket was closed with unread bytes, which resets the connection.

A connection is now shut down after its last response, and the rest of the request is discarded until the caller closes, for the idle limit at most. An idle connection that ends is still closed at once, so that a request on its way is certainly not read.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -11,7 +11,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use log::warn;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
 
@@ -27,6 +27,8 @@
 /// Smallest bound of the buffer for a request head, bytes. The bound of an open connection
 /// can't change, so it leaves room for a later configuration that allows larger heads.
 const MIN_BUFFER_BYTES: usize = 1024 * 1024;
+/// Size of the pieces in which the rest of a request is discarded, bytes.
+const DISCARD_BYTES: usize = 4 * 1024;
 /// Refusal of a request whose head took too long; no target has run it.
 const SLOW_HEAD_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -54,8 +56,10 @@
 
 /// How the service of a connection ends.
 enum End {
-    /// The connection is closed, or failed.
+    /// The caller has left, the last response is written, or the connection failed.
     Finished,
+    /// No request came in time.
+    Expired,
     /// A request head took too long.
     SlowHead,
 }
@@ -88,7 +92,13 @@
             loop {
                 // An error on a connection affects only its caller, so it isn't logged.
                 if Pin::new(&mut connection).poll(cx).is_ready() {
-                    return Poll::Ready(End::Finished);
+                    let is_expired = progress.is_expired();
+                    let end = if is_expired {
+                        End::Expired
+                    } else {
+                        End::Finished
+                    };
+                    return Poll::Ready(end);
                 }
                 let Some(deadline) = progress.deadline(&current) else {
                     return Poll::Pending;
@@ -118,12 +128,29 @@
             }
         }
     };
-    if let End::SlowHead = end {
-        let mut socket = connection.into_parts().io.into_inner();
-        // The caller may have left.
-        let _ = socket.write_all(SLOW_HEAD_RESPONSE).await;
-        let _ = socket.shutdown().await;
+    let mut socket = connection.into_parts().io.into_inner();
+    match end {
+        // What arrives now must not be read, so that its caller knows that it was not.
+        End::Expired => return,
+        End::SlowHead => {
+            // The caller may have left.
+            let _ = socket.write_all(SLOW_HEAD_RESPONSE).await;
+        }
+        End::Finished => {}
+    }
+    let limit = limits.borrow().idle_timeout;
+    finish(socket, limit).await;
+}
+
+/// Waits until the caller has closed the connection, for `limit` at most. A socket that is closed
+/// with unread bytes resets the connection, and the caller loses the rest of the response.
+async fn finish<S: AsyncRead + AsyncWrite + Unpin>(mut socket: S, limit: Duration) {
+    if socket.shutdown().await.is_err() {
+        return;
     }
+    let mut rest = vec![0; DISCARD_BYTES];
+    let discard = async { while socket.read(&mut rest).await.is_ok_and(|count| count > 0) {} };
+    let _ = time::timeout(limit, discard).await;
 }
 
 impl<C: Clock> Gateway<C> {
--- a/standins/tests/changed_config.rs
+++ b/standins/tests/changed_config.rs
@@ -195,3 +195,32 @@
     assert_eq!(answer.status, 504);
     assert!(begin.elapsed() > Duration::from_secs(9));
 }
+
+/// A refusal before the body is read must reach the caller. The connection was closed with
+/// unread bytes, which resets it, and callers that still wrote lost the refusal.
+#[tokio::test]
+async fn refusal_reaches_a_caller_that_still_writes_its_body() {
+    let fleet = Fleet::start(7).await;
+    let _desk = fleet.target(10, "desk", 0, Behavior::Respond("ok")).await;
+    let gateway = fleet.gateway(20);
+    call_until_ok(gateway, Method::GET, "/check/x").await;
+    for (path, status) in [("/gone/x", 404), ("/book/x", 413)] {
+        let mut lost = 0;
+        for i in 0..20 {
+            let mut channel = Channel::open(gateway).await.unwrap();
+            let length = format!("content-length: {}\r\n", 400 * 1024);
+            let request = head("POST", path, &format!("{i}"), &length);
+            let mut sent = channel.send(request.as_bytes()).await;
+            for _ in 0..20 {
+                if sent.is_ok() {
+                    sent = channel.send(&vec![b'x'; 20 * 1024]).await;
+                }
+                time::sleep(Duration::from_millis(2)).await;
+            }
+            let answer = channel.answer(TIMEOUT).await;
+            let is_whole = answer.is_ok_and(|a| a.status == status);
+            lost += usize::from(sent.is_err() || !is_whole);
+        }
+        assert_eq!(lost, 0, "refusals lost on {path} of 20");
+    }
+}
