Let a planned stop wait for open connections

Callers lost answers, and connections whose request had partly arrived, at a planned stop: the process ended once the last response was handed to its connection, although most of a large one was not sent; connections that were accepted but idle, that had sent half a head on a kept connection, or that waited in the listener's backlog were closed at once.

The stop now waits for connections, within its time limit. The backlog is accepted before the listener closes, new connections may send their first request within the header limit, begun heads are read to their end, and idle kept connections are closed only if nothing has arrived on them. As before, responses tell callers to close.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,9 +1,10 @@
 //! Gateway process: accepts requests of callers, sends them to targets and returns the answers.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use log::info;
+use log::{info, warn};
 use parking_lot::Mutex;
 use rand::RngExt;
 use snafu::{OptionExt, ResultExt};
@@ -44,12 +45,12 @@
 /// Time from SIGTERM until no new connections are accepted. Two readiness probes, one
 /// second apart, must fail before that.
 const ACCEPT_GRACE: Duration = Duration::from_secs(3);
-/// Time before the stop limit at which the process exits although requests are in progress.
+/// Time before the stop limit at which the process exits although connections are open.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Maximum number of waits for a later lifetime of a target; each is woken by every change of the
 /// catalog.
 const MAX_SUCCESSOR_WAITS: usize = 64;
-/// Interval at which the shutdown checks for requests in progress.
+/// Interval at which the shutdown checks for open connections.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Shared state of a gateway process.
@@ -81,7 +82,9 @@
     /// Cancelled when open connections must be closed.
     closing: CancellationToken,
     /// Number of requests in progress.
-    active: std::sync::atomic::AtomicUsize,
+    active: AtomicUsize,
+    /// Number of open connections of callers.
+    connections: AtomicUsize,
 }
 
 /// Runs a gateway until the shutdown signal.
@@ -127,7 +130,8 @@
         caller_limits: watch::Sender::default(),
         stopping: CancellationToken::new(),
         closing: CancellationToken::new(),
-        active: std::sync::atomic::AtomicUsize::new(0),
+        active: AtomicUsize::new(0),
+        connections: AtomicUsize::new(0),
         clock,
     });
     let metrics = metrics_listener(settings.metrics).await?;
@@ -148,12 +152,15 @@
     gateway.stopping.cancel();
     info!(vm = settings.vm.as_str(), active = gateway.active(); "stopping");
     time::sleep(ACCEPT_GRACE.min(settings.bounds.stop_limit() / 2)).await;
-    accepting.abort();
     gateway.closing.cancel();
-    while gateway.active() > 0 && time::Instant::now() < deadline {
+    if let Err(e) = accepting.await {
+        let reason = e.to_string();
+        warn!(reason = reason.as_str(); "accepting connections failed");
+    }
+    while gateway.connections() > 0 && time::Instant::now() < deadline {
         time::sleep(IDLE_CHECK_INTERVAL).await;
     }
-    info!(vm = settings.vm.as_str(), active = gateway.active(); "stopped");
+    info!(vm = settings.vm.as_str(), active = gateway.active(), connections = gateway.connections(); "stopped");
     Ok(())
 }
 
@@ -177,7 +184,11 @@
 
 impl<C: Clock> Gateway<C> {
     fn active(&self) -> usize {
-        self.active.load(std::sync::atomic::Ordering::Relaxed)
+        self.active.load(Ordering::Relaxed)
+    }
+
+    fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
     }
 
     fn is_stopping(&self) -> bool {
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -46,6 +46,8 @@
     stage: Stage,
     /// Start of the stage.
     since: Instant,
+    /// Whether no request has arrived yet.
+    is_new: bool,
     /// Whether the connection ends unless a request has arrived.
     is_expired: bool,
 }
@@ -56,6 +58,7 @@
         let state = State {
             stage: Stage::Idle,
             since: clock.now(),
+            is_new: true,
             is_expired: false,
         };
         Arc::new(Self {
@@ -70,10 +73,12 @@
     }
 
     /// Returns when the current stage must have ended; `None` if its request has time limits
-    /// of its own.
-    pub fn deadline(&self, limits: &Limits) -> Option<Instant> {
+    /// of its own. With `is_closing`, only the first request of a new connection is waited for.
+    pub fn deadline(&self, limits: &Limits, is_closing: bool) -> Option<Instant> {
         let state = self.state.lock();
         match state.stage {
+            Stage::Idle if is_closing && state.is_new => Some(state.since + limits.header_timeout),
+            Stage::Idle if is_closing => Some(state.since),
             Stage::Idle => Some(state.since + limits.idle_timeout + MARGIN),
             Stage::Head => Some(state.since + limits.header_timeout + MARGIN),
             Stage::Response | Stage::Flush => None,
@@ -97,6 +102,7 @@
         let mut state = self.state.lock();
         state.stage = next;
         state.since = self.clock.now();
+        state.is_new = false;
         state.is_expired = false;
     }
 
--- a/src/gateway/guard.rs
+++ b/src/gateway/guard.rs
@@ -56,7 +56,30 @@
     }
 }
 
-/// A request in progress, for which the graceful shutdown waits.
+/// A caller's connection, for whose end the graceful shutdown waits: the socket may still have to
+/// take most of a response whose request is no longer in progress.
+#[derive(Debug)]
+pub struct OpenConnection<C: Clock> {
+    gateway: Arc<Gateway<C>>,
+}
+
+impl<C: Clock> OpenConnection<C> {
+    /// Counts an open connection until the guard is dropped.
+    pub fn begin(gateway: &Arc<Gateway<C>>) -> Self {
+        gateway.connections.fetch_add(1, Ordering::Relaxed);
+        Self {
+            gateway: gateway.clone(),
+        }
+    }
+}
+
+impl<C: Clock> Drop for OpenConnection<C> {
+    fn drop(&mut self) {
+        self.gateway.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A request in progress, until its response is handed to the connection.
 #[derive(Debug)]
 pub struct ActiveRequest<C: Clock> {
     gateway: Arc<Gateway<C>>,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -19,6 +19,7 @@
 use crate::fleet::Limits;
 use crate::gateway::Gateway;
 use crate::gateway::connection::{GuardedBody, Progress, Socket, Stage};
+use crate::gateway::guard::OpenConnection;
 use crate::net;
 use crate::place::idle;
 
@@ -33,18 +34,15 @@
 const SLOW_HEAD_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// Serves callers until the task is aborted.
+/// Serves callers until open connections must be closed.
 pub async fn run<C: Clock>(listener: TcpListener, gateway: Arc<Gateway<C>>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                if let Err(e) = net::configure_socket(&stream) {
-                    let reason = e.to_string();
-                    warn!(reason = reason.as_str(); "configuring a connection failed");
-                    continue;
-                }
-                tokio::spawn(serve_connection(stream, gateway.clone()));
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = gateway.closing.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => start_connection(stream, &gateway),
             Err(e) => {
                 let reason = e.to_string();
                 warn!(reason = reason.as_str(); "accepting a connection failed");
@@ -52,6 +50,29 @@
             }
         }
     }
+    // The callers of connections in the backlog have connected and may have sent a request.
+    if let Ok(listener) = listener.into_std() {
+        while let Ok((stream, _)) = listener.accept() {
+            let is_set = stream.set_nonblocking(true).is_ok();
+            if let (true, Ok(stream)) = (is_set, TcpStream::from_std(stream)) {
+                start_connection(stream, &gateway);
+            }
+        }
+    }
+}
+
+fn start_connection<C: Clock>(stream: TcpStream, gateway: &Arc<Gateway<C>>) {
+    if let Err(e) = net::configure_socket(&stream) {
+        let reason = e.to_string();
+        warn!(reason = reason.as_str(); "configuring a connection failed");
+        return;
+    }
+    let open = OpenConnection::begin(gateway);
+    let serving = serve_connection(stream, gateway.clone());
+    tokio::spawn(async move {
+        let _open = open;
+        serving.await;
+    });
 }
 
 /// How the service of a connection ends.
@@ -100,7 +121,7 @@
                     };
                     return Poll::Ready(end);
                 }
-                let Some(deadline) = progress.deadline(&current) else {
+                let Some(deadline) = progress.deadline(&current, is_closing) else {
                     return Poll::Pending;
                 };
                 let deadline = time::Instant::from_std(deadline);
@@ -122,10 +143,7 @@
         tokio::select! {
             end = serve => break end,
             Ok(()) = limits.changed() => {}
-            () = closing.cancelled(), if !is_closing => {
-                is_closing = true;
-                Pin::new(&mut connection).graceful_shutdown();
-            }
+            () = closing.cancelled(), if !is_closing => is_closing = true,
         }
     };
     let mut socket = connection.into_parts().io.into_inner();
