Tell callers when a refusal ends their connection

A request that is refused before its body has arrived ends its connection, but the refusal did not say so. Beside changes of the configuration, callers that wrote their body a moment after the head got 404 or 401 and lost their next request on the same connection: it was read and never answered.

Such refusals now carry `connection: close`.

Ruled out by answers_of_a_target_that_leaves_go_on_to_their_end, which passed before, too: a target that is removed, drains, is registered anew or whose service goes ends no running answer, stream or plain.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -5,9 +5,10 @@
 
 use bytes::Bytes;
 use futures_util::stream::Stream;
+use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use log::info;
 use metrics::{counter, histogram};
 use rand::RngExt;
@@ -198,9 +199,15 @@
         >,
     > {
         let mut record = Record::new(&self);
-        let result = match self.read_request(request, &mut record).await {
+        let (parts, mut body) = request.into_parts();
+        // The connection ends with a response before the end of the request's body.
+        let mut is_last = false;
+        let result = match self.read_request(parts, &mut body, &mut record).await {
             Ok(call) => self.serve(call, record).await,
-            Err(refusal) => Err((refusal, record)),
+            Err(refusal) => {
+                is_last = !body.is_end_stream();
+                Err((refusal, record))
+            }
         };
         let mut response = match result {
             Ok(Reply::Full(response)) => response.map(Either::Left),
@@ -210,7 +217,7 @@
             }
             Err((refusal, mut record)) => refusal_response(refusal, &mut record).map(Either::Left),
         };
-        if self.is_stopping() {
+        if is_last || self.is_stopping() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
@@ -220,10 +227,10 @@
     /// Finds the route and account of a request and reads its body.
     async fn read_request(
         &self,
-        request: Request<Incoming>,
+        parts: Parts,
+        body: &mut Incoming,
         record: &mut Record<C>,
     ) -> Result<Call, Refusal> {
-        let (parts, body) = request.into_parts();
         let caller_headers = request::caller_headers(&parts.headers);
         record.id.clone_from(&caller_headers.request_id);
         record.tokens = (caller_headers.prompt_tokens, caller_headers.output_tokens);
