Show that reload signals lose no requests

Ruled out: 300 unsafe requests of 10 callers on kept connections, with a SIGHUP every 20 ms; each was answered or refused.

--- a/standins/tests/planned_stop.rs
+++ b/standins/tests/planned_stop.rs
@@ -224,3 +224,38 @@
     // One connection may arrive while the listener is closed; its request is not read.
     assert!(outcomes.unread.len() <= 1, "{outcomes:?}");
 }
+
+/// SIGHUP only checks the settings file; no request may be delayed or lost by it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reload_signals_beside_requests_lose_none() {
+    let _signal = SIGNAL.lock().await;
+    let fleet = Fleet::start(3).await;
+    let behavior = Behavior::CrashOnPath("never");
+    let desk = fleet.target(10, "desk", 0, behavior).await;
+    let gateway = start_process(&fleet).await;
+    let mut callers = JoinSet::new();
+    for i in 0..10 {
+        callers.spawn(async move {
+            let mut results = Vec::new();
+            let mut channel = Channel::open(gateway).await.unwrap();
+            for number in 0..30 {
+                let id = format!("reload-{i}-{number}");
+                let request = head("POST", "/book/x", &id, "");
+                channel.send(request.as_bytes()).await.unwrap();
+                let answer = channel.answer(TIMEOUT).await;
+                results.push((id, answer.map(|a| a.status)));
+            }
+            results
+        });
+    }
+    let signals = tokio::spawn(async {
+        loop {
+            kill_process(getpid(), Signal::HUP).unwrap();
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    let results: Vec<_> = callers.join_all().await.into_iter().flatten().collect();
+    signals.abort();
+    let outcomes = Outcomes::new(results, &desk);
+    assert_eq!(outcomes.answered + outcomes.refused, 300, "{outcomes:?}");
+}
