Count connections that a gateway closes, by reason

An operator could not tell whether a gateway closed a connection because it was idle, because its request head was too slow or because of a planned stop.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -10,7 +10,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use log::warn;
+use log::{debug, warn};
+use metrics::counter;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
@@ -146,6 +147,16 @@
             () = closing.cancelled(), if !is_closing => is_closing = true,
         }
     };
+    let reason = match end {
+        End::Finished => None,
+        End::Expired if is_closing => Some("stopping"),
+        End::Expired => Some("idle"),
+        End::SlowHead => Some("slow head"),
+    };
+    if let Some(reason) = reason {
+        counter!("corianderramp_gateway_closed_connections_total", "reason" => reason).increment(1);
+        debug!(reason = reason; "connection closed");
+    }
     let mut socket = connection.into_parts().io.into_inner();
     match end {
         // What arrives now must not be read, so that its caller knows that it was not.
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -67,7 +67,7 @@
 
 /// All metrics that the processes export. docs/operations/metrics.md says what to do
 /// when one of them changes.
-pub const METRICS: [Metric; 26] = [
+pub const METRICS: [Metric; 27] = [
     Metric {
         name: REQUESTS_TOTAL,
         kind: Type::Counter,
@@ -146,6 +146,12 @@
         labels: &["outcome"],
         help: "Ended requests of callers at a gateway by outcome",
     },
+    Metric {
+        name: "corianderramp_gateway_closed_connections_total",
+        kind: Type::Counter,
+        labels: &["reason"],
+        help: "Connections of callers that a gateway closed between requests by reason",
+    },
     Metric {
         name: "corianderramp_gateway_first_seconds",
         kind: Type::Histogram,
