--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -5,9 +5,10 @@
 
 use bytes::Bytes;
 use futures_util::stream::Stream;
+use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, header, response};
 use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use log::info;
 use metrics::{counter, histogram};
 use parking_lot::Mutex;
@@ -183,6 +184,10 @@
 };
 const NO_ROUTE: Refusal = Refusal::new(StatusCode::NOT_FOUND, "no route");
 const UNKNOWN_KEY: Refusal = Refusal::new(StatusCode::UNAUTHORIZED, "unknown key");
+const HEAD_TOO_LARGE: Refusal = Refusal::new(
+    StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+    "head too large",
+);
 const BODY_TOO_LARGE: Refusal = Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
 const BODY_NOT_RECEIVED: Refusal = Refusal::new(StatusCode::BAD_REQUEST, "body not received");
 const SLOW_BODY: Refusal = Refusal::new(StatusCode::REQUEST_TIMEOUT, "body too slow");
@@ -213,9 +218,15 @@
         >,
     > {
         let mut record = Record::new(&self);
-        let result = match self.read_request(request, &mut record).await {
+        let (parts, mut body) = request.into_parts();
+        // The connection ends with a response before the end of the request's body.
+        let mut is_last = false;
+        let result = match self.read_request(parts, &mut body, &mut record).await {
             Ok(call) => self.serve(call, record).await,
-            Err(refusal) => Err((refusal, record)),
+            Err(refusal) => {
+                is_last = !body.is_end_stream();
+                Err((refusal, record))
+            }
         };
         let mut response = match result {
             Ok(Reply::Full(response)) => response.map(Either::Left),
@@ -224,7 +235,7 @@
             }
             Err((refusal, mut record)) => refusal_response(refusal, &mut record).map(Either::Left),
         };
-        if self.is_stopping() {
+        if is_last || self.is_stopping() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
@@ -234,10 +245,10 @@
     /// Finds the route and account of a request and reads its body.
     async fn read_request(
         &self,
-        request: Request<Incoming>,
+        parts: Parts,
+        body: &mut Incoming,
         record: &mut Record<C>,
     ) -> Result<Call, Refusal> {
-        let (parts, body) = request.into_parts();
         let caller_headers = request::caller_headers(&parts.headers);
         record.id.clone_from(&caller_headers.request_id);
         record.tokens = (caller_headers.prompt_tokens, caller_headers.output_tokens);
@@ -245,6 +256,9 @@
         let catalog = self.catalog.snapshot();
         let config = catalog.config.clone().ok_or(NO_CONFIG)?;
         record.config_version = config.version;
+        if request::head_bytes(&parts) > config.limits.head_bytes {
+            return Err(HEAD_TOO_LARGE);
+        }
         let host = parts.headers.get(header::HOST);
         let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
         let host = host.split(':').next().unwrap_or_default();
