Count requests without a grant beside the grants

A host counted a target's requests as the larger of the grants and the target's last report. When the report counted requests that have no grant, for example after the grants were dropped, new grants did not add to the count until they outnumbered these requests, and the host granted slots that were taken.

With 4 slots and 3 requests reported, the new test got 3 slots granted where 1 is free. Requests beyond the grants are now added to the grants, as of the last report. At the moment of a report the count is the same as before.

--- a/src/place/slots.rs
+++ b/src/place/slots.rs
@@ -74,8 +74,8 @@
     /// When the prefill of all granted prompts will be done.
     prefill_end: Option<Instant>,
     grants: Vec<Grant>,
-    /// Requests at the target according to its last report.
-    reported: u32,
+    /// Requests in the target's last report beyond the grants at that time.
+    ungranted: u32,
     is_open: bool,
 }
 
@@ -96,7 +96,7 @@
             prefill_rate: (prefill * PREFILL_SHARE).max(1.0),
             prefill_end: None,
             grants: Vec::new(),
-            reported: 0,
+            ungranted: 0,
             is_open: false,
         }
     }
@@ -121,7 +121,7 @@
     #[must_use]
     pub fn active(&self) -> u32 {
         let granted = u32::try_from(self.grants.len()).unwrap_or(u32::MAX);
-        granted.max(self.reported)
+        granted.saturating_add(self.ungranted)
     }
 
     /// Returns the number of free slots; 0 while closed.
@@ -188,39 +188,28 @@
             .saturating_duration_since(grant.granted_at)
             .as_secs_f64();
         self.hold += (held - self.hold) * HOLD_WEIGHT;
-        self.reported = self.reported.saturating_sub(1);
     }
 
     /// Adopts the number of requests that the target reports. Drops grants whose requests
     /// never arrived or whose release was lost.
     pub fn reconcile(&mut self, reported: u32, now: Instant) {
-        self.reported = reported;
-        self.grants
-            .retain(|g| now.saturating_duration_since(g.granted_at) < MAX_GRANT_AGE);
         let age = |g: &Grant| now.saturating_duration_since(g.granted_at);
-        let arrived = self
-            .grants
-            .iter()
-            .filter(|g| age(g) >= ARRIVAL_TIMEOUT)
-            .count();
-        let excess = arrived.saturating_sub(reported as usize);
-        if excess == 0 {
-            return;
-        }
-        let mut old: Vec<Grant> = self.grants.clone();
-        old.retain(|g| age(g) >= ARRIVAL_TIMEOUT);
-        old.sort_by_key(|g| g.granted_at);
-        for grant in &old[..excess] {
-            if let Ok(index) = self.find(grant.id) {
-                self.grants.remove(index);
-            }
-        }
+        let mut grants = std::mem::take(&mut self.grants);
+        grants.retain(|g| age(g) < MAX_GRANT_AGE);
+        let has_arrived = |g: &Grant| age(g) >= ARRIVAL_TIMEOUT;
+        let mut arrived: Vec<Grant> = grants.iter().copied().filter(has_arrived).collect();
+        arrived.sort_by_key(|g| g.granted_at);
+        arrived.truncate(arrived.len().saturating_sub(reported as usize));
+        grants.retain(|g| arrived.iter().all(|d| d.id != g.id));
+        let granted = u32::try_from(grants.len()).unwrap_or(u32::MAX);
+        self.ungranted = reported.saturating_sub(granted);
+        self.grants = grants;
     }
 
     /// Drops all grants after the target lost its requests, for example in a restart.
     pub fn reset(&mut self) {
         self.grants.clear();
-        self.reported = 0;
+        self.ungranted = 0;
     }
 
     fn find(&self, id: GrantId) -> Result<usize, usize> {
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -215,3 +215,15 @@
     let next = pacer.reserve(10_000, 1.0, now);
     assert_eq!(next.begin, now + Duration::from_millis(52));
 }
+
+/// Guards against grants beside requests that the target reports and that have none: a grant
+/// takes a slot of its own, though the report counts more requests than there are grants.
+#[test]
+fn grant_takes_a_slot_beside_requests_without_one() {
+    let now = Instant::now();
+    let mut table = slot_table(4);
+    table.reconcile(3, now);
+    let decisions = [1, 2, 3].map(|i| table.request(&slot_request(i, 1, true), now));
+    let granted = decisions.iter().filter(|d| **d == Decision::Granted);
+    assert_eq!(granted.count(), 1);
+}
