Free one slot for a request that ends before a report

A report that no longer counts a request can arrive at the host before the release of the request. The host then dropped its oldest grant, and the release removed that of the request that ended: one end freed two slots until the next report.

In the new test with 4 requests, 3 reported, 2 were counted after the release instead of 3. Grants that a report does not count are now remembered until the next one. A release of another grant takes one of them back, and a release of one of them changes nothing. Grants of a gateway that ended are still freed at the report, as before.

--- a/src/place/slots.rs
+++ b/src/place/slots.rs
@@ -74,6 +74,9 @@
     /// When the prefill of all granted prompts will be done.
     prefill_end: Option<Instant>,
     grants: Vec<Grant>,
+    /// Grants that the last report did not count, in order of age. Their releases may still be on
+    /// their way.
+    dropped: Vec<Grant>,
     /// Requests in the target's last report beyond the grants at that time.
     ungranted: u32,
     is_open: bool,
@@ -96,6 +99,7 @@
             prefill_rate: (prefill * PREFILL_SHARE).max(1.0),
             prefill_end: None,
             grants: Vec::new(),
+            dropped: Vec::new(),
             ungranted: 0,
             is_open: false,
         }
@@ -182,12 +186,22 @@
 
     /// Frees the slot of a request that has ended.
     pub fn release(&mut self, id: GrantId, now: Instant) {
+        if let Some(i) = self.dropped.iter().position(|g| g.id == id) {
+            self.dropped.remove(i);
+            return;
+        }
         let Ok(index) = self.find(id) else { return };
         let grant = self.grants.remove(index);
         let held = now
             .saturating_duration_since(grant.granted_at)
             .as_secs_f64();
         self.hold += (held - self.hold) * HOLD_WEIGHT;
+        // The last report no longer counted this request, and another grant was dropped for it.
+        if let Some(running) = self.dropped.pop()
+            && let Err(i) = self.find(running.id)
+        {
+            self.grants.insert(i, running);
+        }
     }
 
     /// Adopts the number of requests that the target reports. Drops grants whose requests
@@ -203,12 +217,13 @@
         grants.retain(|g| arrived.iter().all(|d| d.id != g.id));
         let granted = u32::try_from(grants.len()).unwrap_or(u32::MAX);
         self.ungranted = reported.saturating_sub(granted);
-        self.grants = grants;
+        (self.grants, self.dropped) = (grants, arrived);
     }
 
     /// Drops all grants after the target lost its requests, for example in a restart.
     pub fn reset(&mut self) {
         self.grants.clear();
+        self.dropped.clear();
         self.ungranted = 0;
     }
 
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -227,3 +227,22 @@
     let granted = decisions.iter().filter(|d| **d == Decision::Granted);
     assert_eq!(granted.count(), 1);
 }
+
+/// Guards against a slot that is freed twice: by a report that does not count a request that
+/// has just ended, and by the release of the request, which arrives after it.
+#[test]
+fn release_after_the_report_frees_one_slot() {
+    let now = Instant::now();
+    let mut table = slot_table(4);
+    let requests = [1, 2, 3, 4].map(|i| slot_request(i, 1, false));
+    for (i, request) in (0..).zip(&requests) {
+        table.request(request, now + Duration::from_millis(i));
+    }
+    let later = now + Duration::from_secs(1);
+    table.reconcile(3, later);
+    assert_eq!(table.active(), 3);
+    table.release(requests[2].id, later + Duration::from_millis(2));
+    assert_eq!(table.active(), 3);
+    table.release(requests[0].id, later + Duration::from_millis(4));
+    assert_eq!(table.active(), 2);
+}
