Keep the slots of a target that falls silent

A host that got no report within 400 ms closed its target and dropped all of its grants, though a sound target may be silent for a second or so and goes on with its requests. Callers without another target were refused at once, and when the target went on, its slots were granted again beside the requests that still ran; requests sent to it shortly before were taken as lost.

A host now drops grants only when the target's process has ended: when a new connection is refused or the report has another start. After a timeout the grants stay and releases are taken. Requests that may go to other targets are refused; the last request for a slot is granted a free one while the silence is shorter than four objectives, for which callers wait at least. After four of the longest objective the target is closed until it reports again. Requests sent during a silence count as missing only 500 ms after it.

The two tests in place.rs need the new function. A connection that breaks is tried again at once, so that the end of a process is still noticed by the refusal.

--- a/src/host.rs
+++ b/src/host.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use log::{info, warn};
@@ -26,7 +26,7 @@
 use crate::node::{Error, ListenSnafu, MissingSnafu, SharedCatalog, metrics_listener, relay};
 use crate::place::limit::Limits;
 use crate::place::pace::Pacer;
-use crate::place::slots::SlotTable;
+use crate::place::slots::{SILENCE_OBJECTIVES, SlotTable};
 use crate::platform::engine::{self, Report};
 use crate::rendezvous;
 use crate::shared_state::Phase;
@@ -45,7 +45,7 @@
 
 /// Time between two polls of the target's report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
-/// Timeout of a report, which comes from the same VM.
+/// Timeout of a report, which comes from the same VM; the target then counts as silent.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of an accepted load order; the target first ends the requests that run.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(12);
@@ -301,20 +301,17 @@
     /// Polls the target's report once, and opens or closes the target for requests accordingly.
     async fn update_report(&self) {
         let mut client = self.report_client.lock().await;
-        let report = client.fetch(REPORT_TIMEOUT).await;
+        let asked = self.clock.now();
+        let mut report = client.fetch(REPORT_TIMEOUT).await;
+        if report.as_ref().is_err_and(|e| !e.is_timeout()) {
+            // A new connection shows whether the process has ended.
+            report = client.fetch(REPORT_TIMEOUT).await;
+        }
         drop(client);
         self.record_poll(&report);
         let report = match report {
             Ok(report) => report,
-            Err(e) => {
-                if self.is_reachable.send_replace(false) {
-                    let reason = e.to_string();
-                    warn!(target:% = self.target, reason = reason.as_str(); "target unreachable");
-                }
-                self.set_open(false, "target unreachable");
-                self.slots.lock().reset();
-                return;
-            }
+            Err(e) => return self.record_failed_poll(&e, asked),
         };
         if !self.is_reachable.send_replace(true) {
             info!(target:% = self.target, weights = report.weights, born = report.started; "target reached");
@@ -322,11 +319,18 @@
         let now = self.clock.now();
         let before = self.report.send_replace(report.clone());
         let mut slots = self.slots.lock();
+        let silence = slots.silence(now);
         if before.started != report.started {
             slots.reset();
         }
         slots.reconcile(report.running + report.queued, now);
+        let active = slots.active();
         drop(slots);
+        if let Some(silence) = silence {
+            let ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
+            info!(target:% = self.target, ms, active; "target goes on after a silence");
+            self.publish_state();
+        }
         if before.weights != report.weights {
             info!(before = before.weights, after = report.weights; "target weights changed");
         }
@@ -334,6 +338,41 @@
         self.set_open(reason.is_none(), reason.unwrap_or("serving"));
     }
 
+    /// Handles a poll that was asked at `asked` and got no report. The target has lost its
+    /// requests only if its process has ended: if it is silent, it may go on with them.
+    fn record_failed_poll(&self, error: &engine::Error, asked: Instant) {
+        let reason = error.to_string();
+        if self.is_reachable.send_replace(false) {
+            warn!(target:% = self.target, reason = reason.as_str(); "target unreachable");
+        }
+        if error.is_refused() {
+            self.set_open(false, "target unreachable");
+            self.slots.lock().reset();
+            return;
+        }
+        let now = self.clock.now();
+        let mut slots = self.slots.lock();
+        let is_new = slots.record_silence(asked);
+        let silence = slots.silence(now);
+        let active = slots.active();
+        drop(slots);
+        if is_new {
+            info!(target:% = self.target, active; "target silent, its requests keep their slots");
+            self.publish_state();
+        }
+        if silence >= Some(self.longest_objective() * SILENCE_OBJECTIVES) {
+            self.set_open(false, "target silent");
+        }
+    }
+
+    /// Longest objective of the target's routes, by which requests that it queued begin.
+    fn longest_objective(&self) -> Duration {
+        let catalog = self.catalog.snapshot();
+        let config = catalog.config.as_ref();
+        let objective = config.and_then(|c| c.longest_objective(&self.service));
+        objective.unwrap_or(DEFAULT_MARGIN)
+    }
+
     /// Reason for which the target accepts no requests; `None` if it does.
     fn closed_reason(&self, report: &Report) -> Option<&'static str> {
         if report.busy || self.is_switching.load(Ordering::Relaxed) {
@@ -351,11 +390,7 @@
             return Some("draining");
         }
         // Requests that the target has queued begin within their objective.
-        let objective = catalog
-            .config
-            .as_ref()
-            .and_then(|c| c.longest_objective(&self.service));
-        let margin = objective.unwrap_or(DEFAULT_MARGIN);
+        let margin = self.longest_objective();
         let limit = self.bounds.weights_limit().saturating_sub(margin);
         let now = self.clock.now();
         let due = catalog
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -150,7 +150,7 @@
     }
 
     /// Sends the state to all subscribed gateways.
-    fn publish_state(&self) {
+    pub(super) fn publish_state(&self) {
         self.send_to_gateways(&Body::State(self.state()));
     }
 
--- a/src/net.rs
+++ b/src/net.rs
@@ -67,6 +67,16 @@
     pub fn is_refused(&self) -> bool {
         matches!(self, Self::Connect { source, .. } if source.kind() == io::ErrorKind::ConnectionRefused)
     }
+
+    /// Whether the peer did not answer in time, so that it may be well and only slow.
+    #[must_use]
+    pub fn is_timeout(&self) -> bool {
+        match self {
+            Self::Connect { source, .. } => source.kind() == io::ErrorKind::TimedOut,
+            Self::Timeout { .. } => true,
+            Self::Exchange { .. } | Self::Body { .. } => false,
+        }
+    }
 }
 
 /// Connection for sequential requests; dropping it closes the socket.
--- a/src/place/slots.rs
+++ b/src/place/slots.rs
@@ -4,6 +4,10 @@
 //! counted slots by itself, together they would overload the target, so that requests miss
 //! their objective, or leave slots unused. One table next to the target therefore counts
 //! the requests of all gateways.
+//!
+//! Load pattern: a sound target falls silent for a second or so and goes on with all of its
+//! requests. Their slots stay taken meanwhile. New requests go to other targets; those that
+//! have none may wait at the silent one for its free slots, as long as their callers do.
 
 use std::time::{Duration, Instant};
 
@@ -24,6 +28,9 @@
 /// Priority of ordinary requests. A request may wait for one more slot for each level that
 /// it is more urgent.
 const DEFAULT_PRIORITY: u8 = 1;
+/// Multiple of the objective for which a target may be silent while requests that have no other
+/// target are still granted its free slots. Callers wait at least as long for the first event.
+pub const SILENCE_OBJECTIVES: u32 = 4;
 /// Weight of a new sample in the moving average of the time that a slot is held.
 const HOLD_WEIGHT: f64 = 0.05;
 
@@ -79,6 +86,11 @@
     dropped: Vec<Grant>,
     /// Requests in the target's last report beyond the grants at that time.
     ungranted: u32,
+    /// When the target was asked for the report that it has not given since; `None` while its
+    /// reports come in time.
+    silent_since: Option<Instant>,
+    /// When the target gave its first report after a silence.
+    heard_since: Option<Instant>,
     is_open: bool,
 }
 
@@ -101,6 +113,8 @@
             grants: Vec::new(),
             dropped: Vec::new(),
             ungranted: 0,
+            silent_since: None,
+            heard_since: None,
             is_open: false,
         }
     }
@@ -139,13 +153,33 @@
     }
 
     /// Returns how long a request granted now would wait before its prefill begins: for a
-    /// free slot and for the prompts ahead of it.
+    /// free slot and for the prompts ahead of it. A silent target is expected to stay silent
+    /// for as long again.
     #[must_use]
     pub fn expected_wait(&self, now: Instant) -> Duration {
         let ahead = (self.active() + 1).saturating_sub(self.slots);
         let slot_wait = self.turnover().mul_f64(f64::from(ahead));
         let prefill_wait = self.prefill_end.map(|at| at.saturating_duration_since(now));
-        slot_wait.max(prefill_wait.unwrap_or_default())
+        let silence = self.silence(now);
+        slot_wait
+            .max(prefill_wait.unwrap_or_default())
+            .max(silence.unwrap_or_default())
+    }
+
+    /// Time for which the target has not given the report that it was asked for; `None` while
+    /// its reports come in time.
+    #[must_use]
+    pub fn silence(&self, now: Instant) -> Option<Duration> {
+        let since = self.silent_since?;
+        Some(now.saturating_duration_since(since))
+    }
+
+    /// Records that the target has not given the report for which it was asked at `asked`.
+    /// Returns whether its reports came in time before.
+    pub fn record_silence(&mut self, asked: Instant) -> bool {
+        let is_new = self.silent_since.is_none();
+        self.silent_since.get_or_insert(asked);
+        is_new
     }
 
     /// Mean time until a slot of a full target becomes free.
@@ -163,13 +197,21 @@
             return Decision::Granted;
         }
         let wait = self.expected_wait(now);
+        let may_wait = |silence: Duration| {
+            let limit = request.objective * SILENCE_OBJECTIVES;
+            !request.immediate_only && silence < limit && self.active() < self.slots
+        };
         let limit = if request.immediate_only {
             MAX_IMMEDIATE_WAIT
         } else {
             let levels = DEFAULT_PRIORITY.saturating_sub(request.priority);
             request.objective.mul_f64(MAX_WAIT_SHARE) + self.turnover() * u32::from(levels)
         };
-        if wait > limit {
+        let is_full = match self.silence(now) {
+            Some(silence) => !may_wait(silence),
+            None => wait > limit,
+        };
+        if is_full {
             return Decision::Full(wait);
         }
         let prefill = Duration::from_secs_f64(f64::from(request.prompt_tokens) / self.prefill_rate);
@@ -207,10 +249,17 @@
     /// Adopts the number of requests that the target reports. Drops grants whose requests
     /// never arrived or whose release was lost.
     pub fn reconcile(&mut self, reported: u32, now: Instant) {
-        let age = |g: &Grant| now.saturating_duration_since(g.granted_at);
+        if self.silent_since.take().is_some() {
+            self.heard_since = Some(now);
+        }
+        let age = |at: Instant| now.saturating_duration_since(at);
         let mut grants = std::mem::take(&mut self.grants);
-        grants.retain(|g| age(g) < MAX_GRANT_AGE);
-        let has_arrived = |g: &Grant| age(g) >= ARRIVAL_TIMEOUT;
+        grants.retain(|g| age(g.granted_at) < MAX_GRANT_AGE);
+        // Requests sent to a silent target arrive when it goes on.
+        let heard_since = self.heard_since;
+        let has_arrived = |g: &Grant| {
+            age(heard_since.map_or(g.granted_at, |at| at.max(g.granted_at))) >= ARRIVAL_TIMEOUT
+        };
         let mut arrived: Vec<Grant> = grants.iter().copied().filter(has_arrived).collect();
         arrived.sort_by_key(|g| g.granted_at);
         arrived.truncate(arrived.len().saturating_sub(reported as usize));
@@ -225,6 +274,8 @@
         self.grants.clear();
         self.dropped.clear();
         self.ungranted = 0;
+        self.silent_since = None;
+        self.heard_since = None;
     }
 
     fn find(&self, id: GrantId) -> Result<usize, usize> {
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -49,6 +49,12 @@
     pub fn is_refused(&self) -> bool {
         matches!(self, Self::Net { source } if source.is_refused())
     }
+
+    /// Whether the engine did not answer in time. It may go on with its requests.
+    #[must_use]
+    pub fn is_timeout(&self) -> bool {
+        matches!(self, Self::Net { source } if source.is_timeout())
+    }
 }
 
 /// Status report of an engine.
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -246,3 +246,48 @@
     table.release(requests[0].id, later + Duration::from_millis(4));
     assert_eq!(table.active(), 2);
 }
+
+/// Guards against more requests than slots at a target that was silent for a second: those sent
+/// to it meanwhile are not in its first reports.
+#[test]
+fn requests_sent_to_a_silent_target_keep_their_slots() {
+    let now = Instant::now();
+    let mut table = slot_table(4);
+    table.reconcile(0, now);
+    for request in 0..4 {
+        table.request(&slot_request(request, 1, false), now);
+    }
+    table.record_silence(now);
+    let later = now + Duration::from_secs(1);
+    table.reconcile(0, later);
+    assert_eq!(table.active(), 4);
+    table.reconcile(0, later + Duration::from_millis(600));
+    assert_eq!(table.active(), 0);
+}
+
+/// Guards against requests that wait at a silent target although another could take them, that
+/// wait beyond its slots, or for longer than their callers do.
+#[test]
+fn silent_target_takes_only_requests_that_have_no_other() {
+    let now = Instant::now();
+    let mut table = slot_table(2);
+    table.reconcile(1, now);
+    assert!(table.record_silence(now));
+    assert!(!table.record_silence(now + Duration::from_millis(500)));
+    let later = now + Duration::from_millis(900);
+    assert!(matches!(
+        table.request(&slot_request(1, 1, true), later),
+        Decision::Full(_)
+    ));
+    let first = table.request(&slot_request(2, 1, false), later);
+    assert_eq!(first, Decision::Granted);
+    let beyond = table.request(&slot_request(3, 1, false), later);
+    assert!(matches!(beyond, Decision::Full(_)));
+    table.release(slot_request(2, 1, false).id, later);
+    let late = now + OBJECTIVE * 4;
+    let decision = table.request(&slot_request(4, 1, false), late);
+    assert!(matches!(decision, Decision::Full(_)));
+    table.reconcile(1, late);
+    let after = table.request(&slot_request(5, 1, true), late);
+    assert_eq!(after, Decision::Granted);
+}
