Release the slot of a cancelled slot request

A request that was cancelled while it waited for a host's reply, because its caller had left or another attempt had won, kept the slot that the host granted: nobody released it, and the host freed it only from a report 500 ms later. When no reply came, the request also stayed in the gateway's list for ever.

In the new test no release was sent within 2 s after the cancellation. The release now follows whenever the reply is not passed on, also after a timeout as before. It is sent on the same socket after the requests, so that a paused host processes it after them. A late reply alone does not release the slot: a repeated request gets two replies, and the first one may be in use.

--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -79,6 +79,35 @@
     }
 }
 
+/// Removes a request from those without a reply when it is answered, given up or cancelled.
+struct Entry<'a, T> {
+    pending: &'a Pending<T>,
+    request_id: u64,
+}
+
+impl<T> Drop for Entry<'_, T> {
+    fn drop(&mut self) {
+        self.pending.take(self.request_id);
+    }
+}
+
+/// A slot request. Unless its reply was passed on, dropping it releases the slot, which the host
+/// may have granted meanwhile or grants when it goes on.
+struct UnclaimedSlot<'a> {
+    client: &'a AgentClient,
+    target: SocketAddr,
+    request_id: u64,
+    is_claimed: bool,
+}
+
+impl Drop for UnclaimedSlot<'_> {
+    fn drop(&mut self) {
+        if !self.is_claimed {
+            self.client.release(self.target, self.request_id);
+        }
+    }
+}
+
 /// What a request needs of a slot.
 #[derive(Clone, Copy, Debug)]
 pub struct SlotCriteria {
@@ -152,7 +181,8 @@
         }
     }
 
-    /// Requests a slot from the host of `target`; `None` when it does not reply.
+    /// Requests a slot from the host of `target`; `None` when it does not reply. The slot is
+    /// released if the future is dropped before it returns the reply.
     pub async fn request_slot(
         &self,
         target: SocketAddr,
@@ -170,16 +200,24 @@
             limit: criteria.limit,
             lifetime: criteria.lifetime,
         };
+        let mut unclaimed = UnclaimedSlot {
+            client: self,
+            target,
+            request_id,
+            is_claimed: false,
+        };
+        let _entry = Entry {
+            pending: &self.slots,
+            request_id,
+        };
         for _ in 0..MAX_ATTEMPTS {
             let receiver = self.slots.add(request_id);
             self.send(target, Body::SlotRequest(request));
             if let Ok(Ok(reply)) = time::timeout(REPLY_TIMEOUT, receiver).await {
+                unclaimed.is_claimed = true;
                 return Some(reply);
             }
         }
-        self.slots.take(request_id);
-        // The reply that granted the slot may have been lost.
-        self.release(target, request_id);
         None
     }
 
@@ -196,6 +234,10 @@
             request_id,
             limit,
         };
+        let _entry = Entry {
+            pending: &self.permits,
+            request_id,
+        };
         for _ in 0..MAX_ATTEMPTS {
             let receiver = self.permits.add(request_id);
             self.send(keeper, Body::PermitRequest(request));
@@ -203,7 +245,6 @@
                 return Some(reply);
             }
         }
-        self.permits.take(request_id);
         None
     }
 }
@@ -322,3 +363,7 @@
         warn!(target:% = target; "agent did not answer");
     }
 }
+
+#[cfg(test)]
+#[path = "agents_test.rs"]
+mod test;
