Leave unused slots out of the mean time that a slot is held

A gateway that gives up a slot request releases the slot, which a paused host grants when it goes on and frees at once. Each of these releases counted as a request that held its slot for no time. After some dozens of them the host expected slots to become free almost at once and let requests wait for them.

Releases now say whether the slot was unused; older gateways don't, and are counted as before.

--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -103,7 +103,7 @@
 impl Drop for UnclaimedSlot<'_> {
     fn drop(&mut self) {
         if !self.is_claimed {
-            self.client.release(self.target, self.request_id);
+            self.client.send_release(self.target, self.request_id, true);
         }
     }
 }
@@ -157,9 +157,14 @@
     /// Tells the host of `target` that a request has ended. If the message is lost, the host
     /// frees the slot later, from the engine's report.
     pub fn release(&self, target: SocketAddr, request_id: u64) {
+        self.send_release(target, request_id, false);
+    }
+
+    fn send_release(&self, target: SocketAddr, request_id: u64, is_unused: bool) {
         let release = SlotRelease {
             gateway_id: self.gateway_id,
             request_id,
+            is_unused,
         };
         self.send(target, Body::SlotRelease(release));
     }
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -63,6 +63,9 @@
                 let reply = self.decide(&request, now);
                 self.send(from, Body::SlotReply(reply));
             }
+            Body::SlotRelease(release) if release.is_unused => {
+                self.slots.lock().cancel(release.grant_id());
+            }
             Body::SlotRelease(release) => self.slots.lock().release(release.grant_id(), now),
             Body::HeldChunks(held) => self.receive_held(from, held, now),
             Body::CrashReport(report) => self.receive_report(&report),
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -221,6 +221,9 @@
     /// Number of the slot request at its gateway.
     #[prost(uint64, tag = "2")]
     pub request_id: u64,
+    /// Whether the gateway gave the slot up without a reply, so that it was not used.
+    #[prost(bool, tag = "3")]
+    pub is_unused: bool,
 }
 
 /// Chunks of a version that a host holds.
--- a/src/place/slots.rs
+++ b/src/place/slots.rs
@@ -228,22 +228,32 @@
 
     /// Frees the slot of a request that has ended.
     pub fn release(&mut self, id: GrantId, now: Instant) {
-        if let Some(i) = self.dropped.iter().position(|g| g.id == id) {
-            self.dropped.remove(i);
-            return;
-        }
-        let Ok(index) = self.find(id) else { return };
-        let grant = self.grants.remove(index);
+        let Some(grant) = self.remove(id) else { return };
         let held = now
             .saturating_duration_since(grant.granted_at)
             .as_secs_f64();
         self.hold += (held - self.hold) * HOLD_WEIGHT;
+    }
+
+    /// Frees a slot that was not used, which says nothing of how long requests hold one.
+    pub fn cancel(&mut self, id: GrantId) {
+        self.remove(id);
+    }
+
+    fn remove(&mut self, id: GrantId) -> Option<Grant> {
+        if let Some(i) = self.dropped.iter().position(|g| g.id == id) {
+            self.dropped.remove(i);
+            return None;
+        }
+        let index = self.find(id).ok()?;
+        let grant = self.grants.remove(index);
         // The last report no longer counted this request, and another grant was dropped for it.
         if let Some(running) = self.dropped.pop()
             && let Err(i) = self.find(running.id)
         {
             self.grants.insert(i, running);
         }
+        Some(grant)
     }
 
     /// Adopts the number of requests that the target reports. Drops grants whose requests
--- a/standins/tests/pausing_hosts.rs
+++ b/standins/tests/pausing_hosts.rs
@@ -120,6 +120,7 @@
         let release = SlotRelease {
             gateway_id: 1,
             request_id,
+            is_unused: false,
         };
         let release = message::encode(Body::SlotRelease(release));
         self.socket.send_to(&release, self.host).await.unwrap();
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -291,3 +291,17 @@
     let after = table.request(&slot_request(5, 1, true), late);
     assert_eq!(after, Decision::Granted);
 }
+
+/// Guards against too many requests that wait for a slot after a host was paused: it then grants
+/// slots to dozens of requests that were given up, and none of them says how long one is held.
+#[test]
+fn unused_slots_do_not_shorten_the_expected_wait() {
+    let now = Instant::now();
+    let mut table = slot_table(2);
+    for request in 0..50 {
+        table.request(&slot_request(request, 0, false), now);
+        table.cancel(slot_request(request, 0, false).id);
+    }
+    table.reconcile(2, now);
+    assert_eq!(table.expected_wait(now), Duration::from_millis(500));
+}
