Give a load order once when its answer is late

A host that got no answer to a load order within a second gave the order again, with the number of orders from the newest report. If the target had accepted the first order and was still loading, it accepted the second one as well and stayed closed for another load.

A host now gives no order while the report says that the target is loading, and takes the number of orders from the same report, so that an order accepted meanwhile conflicts. A target that is silent as a whole for 1.5 s at the order got one before and gets one now.

--- a/src/host/switch.rs
+++ b/src/host/switch.rs
@@ -180,7 +180,8 @@
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            if !self.is_target_reachable() {
+            // A target that is loading may carry out an order whose answer was late.
+            if !self.is_target_reachable() || self.report.borrow().busy {
                 continue;
             }
             if let Some(next) = self.next_version() {
@@ -269,10 +270,17 @@
     /// Closes the target for new requests and orders it to load the staged version.
     async fn order_load(&self, manifest: &Manifest) {
         let (model, version) = (manifest.model.as_str(), manifest.version);
+        // Taken together: an order that the target accepts from here on conflicts with this one.
+        let (is_loading, accepted) = {
+            let report = self.report.borrow();
+            (report.busy, report.accepted_orders)
+        };
+        if is_loading {
+            return;
+        }
         self.is_switching.store(true, Ordering::Relaxed);
         self.set_open(false, "switching");
         time::sleep(ARRIVAL_GRACE).await;
-        let accepted = self.report.borrow().accepted_orders;
         let ordered = engine::load(self.target, model, version, accepted, ORDER_TIMEOUT).await;
         let outcome = match &ordered {
             Ok(LoadOutcome::Begun) => "begun",
--- a/standins/tests/pausing_hosts.rs
+++ b/standins/tests/pausing_hosts.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use corianderramp::node::message::{self, Body, SlotRelease, SlotReply, SlotRequest, Subscribe};
+use serde_json::json;
 use standins::users;
 use tokio::net::UdpSocket;
 use tokio::time;
@@ -197,3 +198,43 @@
     engine.resume();
     gateway.acquire().await;
 }
+
+/// Releases version 2 and checks that the target, which is behind with an order, gets one order and
+/// that the origin sends each chunk once.
+async fn check_one_order(fleet: &Fleet, engine: &Engine) {
+    let gateway = Gateway::new(fleet).await;
+    gateway
+        .wait_for_state("the host serves", |s| s.is_open)
+        .await;
+    let spec = json!({"model": "m0", "version": 2});
+    fleet.store.put("versions", "m0", spec);
+    gateway
+        .wait_for_state("version 2 is served", |s| s.is_open && s.weights == 2)
+        .await;
+    time::sleep(Duration::from_secs(1)).await;
+    let state = engine.state.lock();
+    assert_eq!((state.orders, state.is_busy), (1, false));
+    drop(state);
+    let mut sent = fleet.origin.sent_chunks();
+    sent.retain(|(version, _)| *version == 2);
+    assert_eq!(sent.len(), CHUNKS, "{sent:?}");
+}
+
+/// A target that falls silent when it gets an order to load weights carries the order out when it
+/// goes on. A second order would keep it closed for twice as long.
+#[tokio::test]
+async fn order_to_a_silent_target_is_not_given_twice() {
+    let fleet = Fleet::start(2).await;
+    let engine = start_engine(&fleet).await;
+    engine.state.lock().pause_at_order = Some(Duration::from_millis(1_500));
+    check_one_order(&fleet, &engine).await;
+}
+
+/// A target whose answer to an order is late already carries the order out.
+#[tokio::test]
+async fn order_that_is_answered_late_is_not_given_twice() {
+    let fleet = Fleet::start(3).await;
+    let engine = start_engine(&fleet).await;
+    engine.state.lock().order_answer_delay = Some(Duration::from_secs(2));
+    check_one_order(&fleet, &engine).await;
+}
