Let a silent origin send each chunk about once

A host took over chunks that others were fetching from the origin when no chunk had arrived for 0.9 s, although they said that their requests were running. An origin that falls silent for 1.5 s and goes on got several requests for each chunk and sent all of them in full.

A host now waits three times as long for a chunk that a reachable host is fetching. Chunks that nobody fetches are taken over as before, and so are those of a host that no longer answers.

--- a/src/weights/choice.rs
+++ b/src/weights/choice.rs
@@ -20,6 +20,10 @@
 /// Factor on the takeover timeout of rollouts that save origin bytes.
 const ORIGIN_BYTES_FACTOR: u32 = 3;
 
+/// Factor on the takeover timeout for a chunk that a reachable agent is fetching from the origin. A
+/// sound origin may be silent for a second or so, and a second request costs the whole chunk again.
+const FETCHING_FACTOR: u32 = 3;
+
 /// Current state of a peer.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct PeerState {
@@ -238,7 +242,8 @@
         return true;
     }
     let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-    snapshot.idle > takeover_timeout(snapshot).saturating_mul(rank)
+    let factor = if is_fetched { FETCHING_FACTOR } else { 1 };
+    snapshot.idle > takeover_timeout(snapshot).saturating_mul(rank.saturating_mul(factor))
 }
 
 /// Time without any new chunk after which the next agent takes over from one
--- /dev/null
+++ b/standins/tests/support/proxy.rs
@@ -0,0 +1,53 @@
+//! Connection between a client and a server that can fall silent without a close.
+
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Proxy that passes on nothing while it is paused.
+#[derive(Clone, Debug)]
+pub struct Proxy {
+    is_paused: watch::Sender<bool>,
+}
+
+impl Proxy {
+    /// Starts a proxy at `address` for the server at `server`.
+    pub async fn start(address: SocketAddr, server: SocketAddr) -> Self {
+        let proxy = Self {
+            is_paused: watch::Sender::new(false),
+        };
+        let listener = TcpListener::bind(address).await.unwrap();
+        let is_paused = proxy.is_paused.clone();
+        tokio::spawn(async move {
+            while let Ok((client, _)) = listener.accept().await {
+                let Ok(server) = TcpStream::connect(server).await else {
+                    continue;
+                };
+                let (from_client, to_client) = client.into_split();
+                let (from_server, to_server) = server.into_split();
+                tokio::spawn(pass(from_client, to_server, is_paused.subscribe()));
+                tokio::spawn(pass(from_server, to_client, is_paused.subscribe()));
+            }
+        });
+        proxy
+    }
+
+    pub fn set_paused(&self, is_paused: bool) {
+        self.is_paused.send_replace(is_paused);
+    }
+}
+
+async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut paused: watch::Receiver<bool>) {
+    let mut buffer = [0; 16 * 1024];
+    while let Ok(length @ 1..) = from.read(&mut buffer).await {
+        let _ = paused.wait_for(|paused| !*paused).await;
+        if to.write_all(&buffer[..length]).await.is_err() {
+            return;
+        }
+    }
+}
