Wait for the hosts assigned first once the manifest is there

Whether a chunk is overdue was judged by the time since the release of the version. When the origin was silent for longer than that patience before it sent the manifest, all hosts got the manifest at the same moment, took all chunks as overdue and asked the origin for them before they knew of each other's requests.

The patience now starts with the download; when chunks are due still follows the release.

--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -79,6 +79,8 @@
     transfers: Vec<Transfer>,
     /// Release of the version, or when it was first listed.
     known_since: Instant,
+    /// When this download began.
+    started: Instant,
     /// When this host or a peer last received a new chunk.
     last_progress: Instant,
     /// When a transfer from the origin last failed.
@@ -110,6 +112,7 @@
             last_heard: Vec::new(),
             transfers: Vec::new(),
             known_since: self.known_since(&model, version, started),
+            started,
             last_progress: started,
             origin_failed: None,
             last_query: None,
@@ -312,14 +315,17 @@
         }
     }
 
-    /// Schedule of requests to the origin, which starts with the release.
+    /// Schedule of requests to the origin, which starts with the release. While the manifest was
+    /// not there, the hosts assigned before this one could not fetch anything.
     fn schedule(&self, now: Instant) -> Schedule {
         let mbps = self.host.origin().map_or(0.0, |o| o.mbps);
         let elapsed = now.saturating_duration_since(self.known_since);
         let schedule = Schedule::new(mbps, self.manifest.chunk_size, elapsed);
-        let failed = self.origin_failed;
+        let failed = self
+            .origin_failed
+            .map_or(self.started, |at| at.max(self.started));
         Schedule {
-            since_failure: failed.map_or(elapsed, |at| now.saturating_duration_since(at)),
+            since_failure: now.saturating_duration_since(failed),
             ..schedule
         }
     }
--- a/standins/tests/pausing_weights.rs
+++ b/standins/tests/pausing_weights.rs
@@ -45,8 +45,24 @@
     .await;
 }
 
-/// An origin that is silent for 1.5 s while it sends chunks must send each about once all the same:
-/// hosts that take over the chunks of others ask it for more than it can send.
+/// An origin that is silent for 1.5 s must send each chunk about once all the same: hosts that take
+/// over the chunks of others ask it for more than it can send.
+#[tokio::test]
+async fn silent_origin_sends_each_chunk_once() {
+    let fleet = Fleet::start(0).await;
+    let (targets, proxy) = start(&fleet).await;
+    proxy.set_paused(true);
+    fleet
+        .store
+        .put("versions", "m0", json!({"model": "m0", "version": 2}));
+    time::sleep(Duration::from_millis(1_500)).await;
+    proxy.set_paused(false);
+    wait_for_version(&targets).await;
+    let sent = sent_chunks(&fleet);
+    assert!(sent <= CHUNKS + 2, "the origin sent {sent} chunks");
+}
+
+/// The same while chunks are being sent.
 #[tokio::test]
 async fn origin_that_falls_silent_between_chunks_sends_each_once() {
     let fleet = Fleet::start(1).await;
