Test hosts that are suspended and go on

Hosts in processes of their own are suspended for 0.3, 1.5 and 3 s while slot requests are given up, a request ends and its slot is released, and while a gateway sends requests.

--- a/standins/tests/pausing_hosts.rs
+++ b/standins/tests/pausing_hosts.rs
@@ -4,16 +4,21 @@
 #![allow(clippy::unwrap_used)]
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 use corianderramp::node::message::{self, Body, SlotRelease, SlotReply, SlotRequest, Subscribe};
+use corianderramp::node::settings::Role;
+use http::{Method, StatusCode};
 use serde_json::json;
-use standins::users;
+use standins::harness::process::Process;
+use standins::users::{Behavior, Target};
+use standins::{harness, users};
 use tokio::net::UdpSocket;
 use tokio::time;
 
 use paused_engine::Engine;
-use users_fleet::{CHUNKS, Fleet, TIMEOUT, wait_until};
+use users_fleet::{CHUNKS, Fleet, TIMEOUT, call, call_until_ok, request, wait_until};
 
 #[path = "support/paused_engine.rs"]
 mod paused_engine;
@@ -41,11 +46,10 @@
         }
     }
 
-    /// Asks for a slot until the host answers; returns the request's id and the reply.
-    async fn ask(&mut self, immediate_only: bool) -> (u64, SlotReply) {
+    fn next_request(&mut self, immediate_only: bool) -> SlotRequest {
         let request_id = self.next_id;
         self.next_id += 1;
-        let request = message::encode(Body::SlotRequest(SlotRequest {
+        SlotRequest {
             gateway_id: 1,
             request_id,
             priority: 1,
@@ -54,7 +58,14 @@
             immediate_only,
             limit: None,
             lifetime: 1,
-        }));
+        }
+    }
+
+    /// Asks for a slot until the host answers; returns the request's id and the reply.
+    async fn ask(&mut self, immediate_only: bool) -> (u64, SlotReply) {
+        let request = self.next_request(immediate_only);
+        let request_id = request.request_id;
+        let request = message::encode(Body::SlotRequest(request));
         let mut buffer = [0; 2_048];
         let answered = async {
             loop {
@@ -108,29 +119,54 @@
         assert!(wanted.is_ok(), "timed out waiting until {what}");
     }
 
-    /// Number of slots granted to `count` requests, which all keep them.
-    async fn count_granted(&mut self, count: usize) -> usize {
-        let mut granted = 0;
+    /// Sends a slot request and gives it up.
+    async fn abandon(&mut self) {
+        let request = self.next_request(true);
+        let request = message::encode(Body::SlotRequest(request));
+        self.socket.send_to(&request, self.host).await.unwrap();
+        self.send_release(self.next_id - 1, true).await;
+    }
+
+    /// Asks for `count` slots, which it keeps; returns the ids of those granted.
+    async fn acquire_all(&mut self, count: usize) -> Vec<u64> {
+        let mut granted = Vec::new();
         for _ in 0..count {
-            granted += usize::from(self.ask(true).await.1.is_granted);
+            let (id, reply) = self.ask(true).await;
+            granted.extend(reply.is_granted.then_some(id));
         }
         granted
     }
 
+    /// Number of slots granted to `count` requests, which all keep them.
+    async fn count_granted(&mut self, count: usize) -> usize {
+        self.acquire_all(count).await.len()
+    }
+
     async fn release(&self, request_id: u64) {
+        self.send_release(request_id, false).await;
+    }
+
+    async fn send_release(&self, request_id: u64, is_unused: bool) {
         let release = SlotRelease {
             gateway_id: 1,
             request_id,
-            is_unused: false,
+            is_unused,
         };
         let release = message::encode(Body::SlotRelease(release));
         self.socket.send_to(&release, self.host).await.unwrap();
     }
 }
 
-/// Starts an engine with a host on VM number 10. Requests hold its slots for seconds, so that none
-/// is granted in advance.
+/// Starts an engine with a host on VM number 10.
 async fn start_engine(fleet: &Fleet) -> Engine {
+    let engine = start_engine_alone(fleet).await;
+    fleet.host(10);
+    engine
+}
+
+/// Starts an engine on VM number 10. Requests hold its slots for seconds, so that none is granted in
+/// advance.
+async fn start_engine_alone(fleet: &Fleet) -> Engine {
     let mut spec = users::config_spec(2, fleet.net.address(2, 8000), CHUNKS);
     spec["services"][0]["engine"]["usual"]["answer"] = 500.into();
     fleet.store.put("config", "main", spec);
@@ -138,7 +174,6 @@
     let engine = Engine::start(address).await;
     let spec = users::target_spec("llm", address, 1);
     fleet.store.put("servers", "i-10", spec);
-    fleet.host(10);
     engine
 }
 
@@ -238,3 +273,100 @@
     engine.state.lock().order_answer_delay = Some(Duration::from_secs(2));
     check_one_order(&fleet, &engine).await;
 }
+
+/// Starts the host on VM number `vm` in a process of its own, which can be suspended.
+fn start_process(fleet: &Fleet, vm: u8, folder: &Path) -> Process {
+    let settings = fleet.settings(Role::Host, vm);
+    let file = folder.join(format!("{vm}.toml"));
+    std::fs::write(&file, toml::to_string(&settings).unwrap()).unwrap();
+    let program = harness::program("corianderrampd").unwrap();
+    Process::start(&program, &[&file], &folder.join(format!("{vm}.log"))).unwrap()
+}
+
+/// A host that was suspended finds slot requests that were given up, releases, and a report that is
+/// newer than both. It must neither lose a slot nor grant one twice.
+#[tokio::test]
+async fn suspended_host_counts_its_slots_when_it_goes_on() {
+    let fleet = Fleet::start(4).await;
+    let engine = start_engine_alone(&fleet).await;
+    let folder = tempfile::tempdir().unwrap();
+    let host = start_process(&fleet, 10, folder.path());
+    let mut gateway = Gateway::new(&fleet).await;
+    for (length, is_first) in [(300, true), (1_500, false), (3_000, false)] {
+        gateway
+            .wait_for_state("all slots are known", |s| s.free_slots == 4)
+            .await;
+        let mut ids = Vec::new();
+        for running in 1..=3 {
+            ids.push(gateway.acquire().await);
+            engine.state.lock().running = running;
+        }
+        if is_first {
+            time::sleep(Duration::from_millis(700)).await;
+        }
+        host.freeze();
+        for _ in 0..20 {
+            gateway.abandon().await;
+        }
+        engine.state.lock().running = 2;
+        gateway.release(ids[0]).await;
+        time::sleep(Duration::from_millis(length)).await;
+        host.resume();
+        // Each count takes the free slots; the last of four must be refused.
+        let granted = gateway.acquire_all(4).await;
+        assert_eq!(granted.len(), 2, "after {length} ms");
+        engine.state.lock().running = 0;
+        for id in ids.into_iter().chain(granted) {
+            gateway.release(id).await;
+        }
+    }
+}
+
+/// Two engines with hosts in processes of their own, and a gateway that knows both.
+async fn start_pair(fleet: &Fleet, folder: &Path) -> ([Target; 2], [Process; 2], SocketAddr) {
+    let targets = [
+        fleet.target(10, "llm", 1, Behavior::Stream(1, 10)).await,
+        fleet.target(11, "llm", 1, Behavior::Stream(1, 10)).await,
+    ];
+    let hosts = [10, 11].map(|vm| start_process(fleet, vm, folder));
+    let gateway = fleet.gateway(20);
+    call_until_ok(gateway, Method::POST, "/plan/x").await;
+    wait_until("both targets get requests", || {
+        let sent = request(Method::POST, "/plan/x", "warm-up");
+        tokio::spawn(call(gateway, sent));
+        targets.iter().all(|t| !t.received().is_empty())
+    })
+    .await;
+    (targets, hosts, gateway)
+}
+
+/// While all hosts are suspended, requests must be served without them, each once, and the slots of
+/// requests that were given up must not keep the targets from serving when the hosts go on.
+#[tokio::test]
+async fn requests_are_served_while_hosts_are_suspended() {
+    let fleet = Fleet::start(5).await;
+    let folder = tempfile::tempdir().unwrap();
+    let (targets, hosts, gateway) = start_pair(&fleet, folder.path()).await;
+    time::sleep(Duration::from_millis(500)).await;
+    let received = || targets.iter().map(|t| t.received().len()).sum::<usize>();
+    let before = received();
+    let mut count = 0;
+    for length in [300, 1_500, 3_000] {
+        hosts.iter().for_each(Process::freeze);
+        let paused = time::Instant::now();
+        let mut is_paused = true;
+        // Goes on for a second after the pause.
+        while paused.elapsed() < Duration::from_millis(length + 1_000) {
+            if is_paused && paused.elapsed() >= Duration::from_millis(length) {
+                hosts.iter().for_each(Process::resume);
+                is_paused = false;
+            }
+            count += 1;
+            let sent = request(Method::POST, "/plan/x", &format!("p{count}"));
+            let response = call(gateway, sent).await.unwrap();
+            assert_eq!(response.status(), StatusCode::OK, "request {count}");
+            assert!(response.body().ends_with(b"token10\n\n"), "request {count}");
+        }
+    }
+    assert_eq!(received() - before, count);
+}
