Follow the store in time when the relays are silent

A node whose relays accept requests and answer none waits 0.9 s for each. Whether its patience was over was judged by the time before these polls, so that it asked all of them a second time before it turned to the store, and a change of the configuration arrived after the limit of 2 s.

In a run with two relays suspended for 3 s a change was in force after 3.1 s, when they went on. The new test, which suspends them for 4 s and allows 3 s, failed before. After two silent relays a node now judges by the time after the polls. Relays that answer too slowly, as when all nodes start at once, are judged as before, and a node that follows the store tries all relays.

--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -47,6 +47,8 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// Time until the relays are tried again while this node waits for one of them.
 const WAIT_INTERVAL: Duration = Duration::from_millis(100);
+/// Silent relays after which no further one is tried at once: each takes `HEAD_TIMEOUT`.
+const MAX_SILENT: usize = 2;
 /// Largest response body of a relay, bytes.
 const MAX_RESPONSE: usize = 16 * 1024 * 1024;
 
@@ -94,6 +96,16 @@
     },
 }
 
+impl Error {
+    /// Whether the relay accepted the request and began no response in time.
+    fn is_silent(&self) -> bool {
+        let Self::Net { source } = self else {
+            return false;
+        };
+        matches!(source, net::Error::Timeout { limit, .. } if *limit == HEAD_TIMEOUT)
+    }
+}
+
 /// Answers a long poll with the topics that are newer than the revisions in `query`. Waits
 /// until there is one, at most `LONG_POLL_TIMEOUT`. `None` if the query is malformed or
 /// the catalog is still incomplete.
@@ -163,6 +175,7 @@
         catalog,
         contact,
         connection: None,
+        is_silent: false,
         clock,
     };
     // Until the first contact, the relays need time to list the catalog themselves.
@@ -180,7 +193,7 @@
             continue;
         }
         let is_direct = *direct.borrow();
-        let now = follower.clock.now();
+        let asked = follower.clock.now();
         if follower.poll_any(&upstreams, is_direct).await {
             set_direct(&direct, false, "following a relay");
             let draw = rand::rng().random();
@@ -188,9 +201,16 @@
             patience_end = follower.clock.now() + patience;
             continue;
         }
+        // Relays that are silent may be paused, and asking them again takes as long again. Those
+        // that answered, but too slowly, get another chance.
+        let judged = if follower.is_silent {
+            follower.clock.now()
+        } else {
+            asked
+        };
         if is_direct {
             time::sleep(RETRY_INTERVAL).await;
-        } else if now >= patience_end {
+        } else if judged >= patience_end {
             set_direct(&direct, true, "no relay in contact with the store");
         } else {
             time::sleep(WAIT_INTERVAL).await;
@@ -210,22 +230,31 @@
     catalog: SharedCatalog,
     contact: StoreContact,
     connection: Option<(SocketAddr, net::Connection)>,
+    /// Whether the relays last polled accepted the requests and began no response.
+    is_silent: bool,
     clock: C,
 }
 
 impl<C: Clock> Follower<C> {
     /// Polls the relays in order until one is in contact with the store; returns whether
-    /// there is one.
+    /// there is one. Unless this node follows the store meanwhile, ends early when `MAX_SILENT`
+    /// were silent.
     async fn poll_any(&mut self, relays: &[SocketAddr], is_direct: bool) -> bool {
-        for relay in relays {
+        let mut silent = 0;
+        for (tried, relay) in (1..).zip(relays) {
             match self.poll(*relay).await {
                 Ok(()) => return true,
                 Err(e) => {
                     self.connection = None;
+                    silent += usize::from(e.is_silent());
+                    self.is_silent = silent == tried;
                     if !is_direct {
                         let reason = e.to_string();
                         warn!(scout:% = relay, reason = reason.as_str(); "relay poll failed");
                     }
+                    if silent == MAX_SILENT && !is_direct {
+                        return false;
+                    }
                 }
             }
         }
--- a/standins/tests/pausing_hosts.rs
+++ b/standins/tests/pausing_hosts.rs
@@ -370,3 +370,36 @@
     }
     assert_eq!(received() - before, count);
 }
+
+/// A change of the configuration must reach a gateway in time although the relays that it follows
+/// are suspended, and again when they go on with an older state.
+#[tokio::test]
+async fn changes_arrive_while_relays_are_suspended() {
+    let fleet = Fleet::start(6).await;
+    let folder = tempfile::tempdir().unwrap();
+    let (_targets, hosts, gateway) = start_pair(&fleet, folder.path()).await;
+    time::sleep(Duration::from_secs(1)).await;
+    let mut spec = users::config_spec(2, fleet.net.address(2, 8000), CHUNKS);
+    for (version, length) in [(2, 300), (3, 1_500), (4, 4_000)] {
+        hosts.iter().for_each(Process::freeze);
+        time::sleep(Duration::from_millis(50)).await;
+        let path = format!("/new-{version}/");
+        let mut route = spec["routes"][0].clone();
+        (route["name"], route["path_prefix"]) = (path.clone().into(), path.clone().into());
+        spec["routes"].as_array_mut().unwrap().push(route);
+        spec["version"] = version.into();
+        fleet.store.put("config", "main", spec.clone());
+        let changed = time::Instant::now();
+        let resumed = async {
+            time::sleep(Duration::from_millis(length)).await;
+            hosts.iter().for_each(Process::resume);
+        };
+        let served = async {
+            call_until_ok(gateway, Method::POST, &format!("{path}x")).await;
+            changed.elapsed()
+        };
+        let ((), took) = tokio::join!(resumed, served);
+        // The limit is 2 s; the rest is for a busy machine.
+        assert!(took < Duration::from_secs(3), "{took:?}");
+    }
+}
