Test that a silence is no death and hides none

A host whose target is silent and goes on must not suspect requests that broke shortly before for another reason, and a death after a silence must suspect only those of the last second.

--- a/src/host/deaths_test.rs
+++ b/src/host/deaths_test.rs
@@ -124,3 +124,32 @@
     }
     assert!(log.recent(true, later).count() <= 256);
 }
+
+/// Guards against a silence that is taken for a death when the target goes on: requests that broke
+/// shortly before for another reason are not suspected then.
+#[test]
+fn target_that_goes_on_after_a_silence_is_not_dead() {
+    let now = Instant::now();
+    let mut log = log();
+    assert_eq!(log.record_report(&[1], now), None);
+    for poll in [Poll::Failed, Poll::Failed, Poll::Answered(1)] {
+        assert_eq!(log.record_poll(poll, 1, now + ms(500)), None);
+    }
+    assert_eq!(log.recent(true, now + ms(500)).count(), 0);
+}
+
+/// Guards against a death that goes unnoticed because the target was silent before it, and against
+/// the suspicion of requests that broke long before, during the silence.
+#[test]
+fn death_after_a_silence_is_noticed() {
+    let now = Instant::now();
+    for end in [Poll::Refused, Poll::Answered(2)] {
+        let mut log = log();
+        log.record_report(&[1], now);
+        log.record_poll(Poll::Failed, 1, now + ms(500));
+        log.record_poll(Poll::Failed, 2, now + ms(1_000));
+        log.record_report(&[2], now + ms(1_400));
+        let death = log.record_poll(end, 3, now + ms(1_500));
+        assert_eq!(death.unwrap().parts, [2]);
+    }
+}
--- a/standins/tests/support/paused_engine.rs
+++ b/standins/tests/support/paused_engine.rs
@@ -111,8 +111,8 @@
         // A request that arrived before the pause ended is read after it.
         let _ = self.is_paused.subscribe().wait_for(|paused| !*paused).await;
         let path = parts.uri.path();
-        let index = parts.uri.query().unwrap_or_default().split('&');
-        let index = index.filter_map(|p| p.strip_prefix("item_count=")).next();
+        let mut pairs = parts.uri.query().unwrap_or_default().split('&');
+        let index = pairs.find_map(|p| p.strip_prefix("item_count="));
         let index = index.and_then(|i| i.parse::<usize>().ok());
         let delay = if path == "/order" {
             self.state.lock().order_answer_delay.take()
