--- a/src/place/slots.rs
+++ b/src/place/slots.rs
@@ -4,6 +4,10 @@
 //! counted slots by itself, together they would overload the target, so that requests miss
 //! their objective, or leave slots unused. One table next to the target therefore counts
 //! the requests of all gateways.
+//!
+//! Load pattern: a sound target falls silent for a second or so and goes on with all of its
+//! requests. Their slots stay taken meanwhile. New requests go to other targets; those that
+//! have none may wait at the silent one for its free slots, as long as their callers do.
 
 use std::time::{Duration, Instant};
 
@@ -24,6 +28,9 @@
 /// Priority of ordinary requests. A request may wait for one more slot for each level that
 /// it is more urgent.
 const DEFAULT_PRIORITY: u8 = 1;
+/// Multiple of the objective for which a target may be silent while requests that have no other
+/// target are still granted its free slots. Callers wait at least as long for the first event.
+pub const SILENCE_OBJECTIVES: u32 = 4;
 /// Weight of a new sample in the moving average of the time that a slot is held.
 const HOLD_WEIGHT: f64 = 0.05;
 
@@ -74,8 +81,16 @@
     /// When the prefill of all granted prompts will be done.
     prefill_end: Option<Instant>,
     grants: Vec<Grant>,
-    /// Requests at the target according to its last report.
-    reported: u32,
+    /// Grants that the last report did not count, in order of age. Their releases may still be on
+    /// their way.
+    dropped: Vec<Grant>,
+    /// Requests in the target's last report beyond the grants at that time.
+    ungranted: u32,
+    /// When the target was asked for the report that it has not given since; `None` while its
+    /// reports come in time.
+    silent_since: Option<Instant>,
+    /// When the target gave its first report after a silence.
+    heard_since: Option<Instant>,
     is_open: bool,
 }
 
@@ -96,7 +111,10 @@
             prefill_rate: (prefill * PREFILL_SHARE).max(1.0),
             prefill_end: None,
             grants: Vec::new(),
-            reported: 0,
+            dropped: Vec::new(),
+            ungranted: 0,
+            silent_since: None,
+            heard_since: None,
             is_open: false,
         }
     }
@@ -121,7 +139,7 @@
     #[must_use]
     pub fn active(&self) -> u32 {
         let granted = u32::try_from(self.grants.len()).unwrap_or(u32::MAX);
-        granted.max(self.reported)
+        granted.saturating_add(self.ungranted)
     }
 
     /// Returns the number of free slots; 0 while closed.
@@ -135,13 +153,33 @@
     }
 
     /// Returns how long a request granted now would wait before its prefill begins: for a
-    /// free slot and for the prompts ahead of it.
+    /// free slot and for the prompts ahead of it. A silent target is expected to stay silent
+    /// for as long again.
     #[must_use]
     pub fn expected_wait(&self, now: Instant) -> Duration {
         let ahead = (self.active() + 1).saturating_sub(self.slots);
         let slot_wait = self.turnover().mul_f64(f64::from(ahead));
         let prefill_wait = self.prefill_end.map(|at| at.saturating_duration_since(now));
-        slot_wait.max(prefill_wait.unwrap_or_default())
+        let silence = self.silence(now);
+        slot_wait
+            .max(prefill_wait.unwrap_or_default())
+            .max(silence.unwrap_or_default())
+    }
+
+    /// Time for which the target has not given the report that it was asked for; `None` while
+    /// its reports come in time.
+    #[must_use]
+    pub fn silence(&self, now: Instant) -> Option<Duration> {
+        let since = self.silent_since?;
+        Some(now.saturating_duration_since(since))
+    }
+
+    /// Records that the target has not given the report for which it was asked at `asked`.
+    /// Returns whether its reports came in time before.
+    pub fn record_silence(&mut self, asked: Instant) -> bool {
+        let is_new = self.silent_since.is_none();
+        self.silent_since.get_or_insert(asked);
+        is_new
     }
 
     /// Mean time until a slot of a full target becomes free.
@@ -159,13 +197,21 @@
             return Decision::Granted;
         }
         let wait = self.expected_wait(now);
+        let may_wait = |silence: Duration| {
+            let limit = request.objective * SILENCE_OBJECTIVES;
+            !request.immediate_only && silence < limit && self.active() < self.slots
+        };
         let limit = if request.immediate_only {
             MAX_IMMEDIATE_WAIT
         } else {
             let levels = DEFAULT_PRIORITY.saturating_sub(request.priority);
             request.objective.mul_f64(MAX_WAIT_SHARE) + self.turnover() * u32::from(levels)
         };
-        if wait > limit {
+        let is_full = match self.silence(now) {
+            Some(silence) => !may_wait(silence),
+            None => wait > limit,
+        };
+        if is_full {
             return Decision::Full(wait);
         }
         let prefill = Duration::from_secs_f64(f64::from(request.prompt_tokens) / self.prefill_rate);
@@ -182,45 +228,64 @@
 
     /// Frees the slot of a request that has ended.
     pub fn release(&mut self, id: GrantId, now: Instant) {
-        let Ok(index) = self.find(id) else { return };
-        let grant = self.grants.remove(index);
+        let Some(grant) = self.remove(id) else { return };
         let held = now
             .saturating_duration_since(grant.granted_at)
             .as_secs_f64();
         self.hold += (held - self.hold) * HOLD_WEIGHT;
-        self.reported = self.reported.saturating_sub(1);
+    }
+
+    /// Frees a slot that was not used, which says nothing of how long requests hold one.
+    pub fn cancel(&mut self, id: GrantId) {
+        self.remove(id);
+    }
+
+    fn remove(&mut self, id: GrantId) -> Option<Grant> {
+        if let Some(i) = self.dropped.iter().position(|g| g.id == id) {
+            self.dropped.remove(i);
+            return None;
+        }
+        let index = self.find(id).ok()?;
+        let grant = self.grants.remove(index);
+        // The last report no longer counted this request, and another grant was dropped for it.
+        if let Some(running) = self.dropped.pop()
+            && let Err(i) = self.find(running.id)
+        {
+            self.grants.insert(i, running);
+        }
+        Some(grant)
     }
 
     /// Adopts the number of requests that the target reports. Drops grants whose requests
     /// never arrived or whose release was lost.
     pub fn reconcile(&mut self, reported: u32, now: Instant) {
-        self.reported = reported;
-        self.grants
-            .retain(|g| now.saturating_duration_since(g.granted_at) < MAX_GRANT_AGE);
-        let age = |g: &Grant| now.saturating_duration_since(g.granted_at);
-        let arrived = self
-            .grants
-            .iter()
-            .filter(|g| age(g) >= ARRIVAL_TIMEOUT)
-            .count();
-        let excess = arrived.saturating_sub(reported as usize);
-        if excess == 0 {
-            return;
-        }
-        let mut old: Vec<Grant> = self.grants.clone();
-        old.retain(|g| age(g) >= ARRIVAL_TIMEOUT);
-        old.sort_by_key(|g| g.granted_at);
-        for grant in &old[..excess] {
-            if let Ok(index) = self.find(grant.id) {
-                self.grants.remove(index);
-            }
+        if self.silent_since.take().is_some() {
+            self.heard_since = Some(now);
         }
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let mut grants = std::mem::take(&mut self.grants);
+        grants.retain(|g| age(g.granted_at) < MAX_GRANT_AGE);
+        // Requests sent to a silent target arrive when it goes on.
+        let heard_since = self.heard_since;
+        let has_arrived = |g: &Grant| {
+            age(heard_since.map_or(g.granted_at, |at| at.max(g.granted_at))) >= ARRIVAL_TIMEOUT
+        };
+        let mut arrived: Vec<Grant> = grants.iter().copied().filter(has_arrived).collect();
+        arrived.sort_by_key(|g| g.granted_at);
+        arrived.truncate(arrived.len().saturating_sub(reported as usize));
+        grants.retain(|g| arrived.iter().all(|d| d.id != g.id));
+        let granted = u32::try_from(grants.len()).unwrap_or(u32::MAX);
+        self.ungranted = reported.saturating_sub(granted);
+        (self.grants, self.dropped) = (grants, arrived);
     }
 
     /// Drops all grants after the target lost its requests, for example in a restart.
     pub fn reset(&mut self) {
         self.grants.clear();
-        self.reported = 0;
+        self.dropped.clear();
+        self.ungranted = 0;
+        self.silent_since = None;
+        self.heard_since = None;
     }
 
     fn find(&self, id: GrantId) -> Result<usize, usize> {
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -215,3 +215,93 @@
     let next = pacer.reserve(10_000, 1.0, now);
     assert_eq!(next.begin, now + Duration::from_millis(52));
 }
+
+/// Guards against grants beside requests that the target reports and that have none: a grant
+/// takes a slot of its own, though the report counts more requests than there are grants.
+#[test]
+fn grant_takes_a_slot_beside_requests_without_one() {
+    let now = Instant::now();
+    let mut table = slot_table(4);
+    table.reconcile(3, now);
+    let decisions = [1, 2, 3].map(|i| table.request(&slot_request(i, 1, true), now));
+    let granted = decisions.iter().filter(|d| **d == Decision::Granted);
+    assert_eq!(granted.count(), 1);
+}
+
+/// Guards against a slot that is freed twice: by a report that does not count a request that
+/// has just ended, and by the release of the request, which arrives after it.
+#[test]
+fn release_after_the_report_frees_one_slot() {
+    let now = Instant::now();
+    let mut table = slot_table(4);
+    let requests = [1, 2, 3, 4].map(|i| slot_request(i, 1, false));
+    for (i, request) in (0..).zip(&requests) {
+        table.request(request, now + Duration::from_millis(i));
+    }
+    let later = now + Duration::from_secs(1);
+    table.reconcile(3, later);
+    assert_eq!(table.active(), 3);
+    table.release(requests[2].id, later + Duration::from_millis(2));
+    assert_eq!(table.active(), 3);
+    table.release(requests[0].id, later + Duration::from_millis(4));
+    assert_eq!(table.active(), 2);
+}
+
+/// Guards against more requests than slots at a target that was silent for a second: those sent
+/// to it meanwhile are not in its first reports.
+#[test]
+fn requests_sent_to_a_silent_target_keep_their_slots() {
+    let now = Instant::now();
+    let mut table = slot_table(4);
+    table.reconcile(0, now);
+    for request in 0..4 {
+        table.request(&slot_request(request, 1, false), now);
+    }
+    table.record_silence(now);
+    let later = now + Duration::from_secs(1);
+    table.reconcile(0, later);
+    assert_eq!(table.active(), 4);
+    table.reconcile(0, later + Duration::from_millis(600));
+    assert_eq!(table.active(), 0);
+}
+
+/// Guards against requests that wait at a silent target although another could take them, that
+/// wait beyond its slots, or for longer than their callers do.
+#[test]
+fn silent_target_takes_only_requests_that_have_no_other() {
+    let now = Instant::now();
+    let mut table = slot_table(2);
+    table.reconcile(1, now);
+    assert!(table.record_silence(now));
+    assert!(!table.record_silence(now + Duration::from_millis(500)));
+    let later = now + Duration::from_millis(900);
+    assert!(matches!(
+        table.request(&slot_request(1, 1, true), later),
+        Decision::Full(_)
+    ));
+    let first = table.request(&slot_request(2, 1, false), later);
+    assert_eq!(first, Decision::Granted);
+    let beyond = table.request(&slot_request(3, 1, false), later);
+    assert!(matches!(beyond, Decision::Full(_)));
+    table.release(slot_request(2, 1, false).id, later);
+    let late = now + OBJECTIVE * 4;
+    let decision = table.request(&slot_request(4, 1, false), late);
+    assert!(matches!(decision, Decision::Full(_)));
+    table.reconcile(1, late);
+    let after = table.request(&slot_request(5, 1, true), late);
+    assert_eq!(after, Decision::Granted);
+}
+
+/// Guards against too many requests that wait for a slot after a host was paused: it then grants
+/// slots to dozens of requests that were given up, and none of them says how long one is held.
+#[test]
+fn unused_slots_do_not_shorten_the_expected_wait() {
+    let now = Instant::now();
+    let mut table = slot_table(2);
+    for request in 0..50 {
+        table.request(&slot_request(request, 0, false), now);
+        table.cancel(slot_request(request, 0, false).id);
+    }
+    table.reconcile(2, now);
+    assert_eq!(table.expected_wait(now), Duration::from_millis(500));
+}
