Decide in one module whether a target may be asked

The rate limit and the time for which a failing target is asked last were fields of the pool's entries with rules of their own, and two more rules are due: a target says in its answers that it leaves, or for how long it wants no requests. place::eligibility decides all of them, with the load pattern of each; the pool asks it for a verdict. What a target said holds for its lifetime, also while its registration is away: the pool remembers up to 1024 lifetimes without one. A rate limit is kept so too, which was forgotten with the registration.

The pause of a request counts the targets that turned it away as well, so that a retry learns the earliest end.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -213,7 +213,7 @@
             key,
             address: entry.target.address,
             needs_grant: needs.min_version.is_some() && !entry.is_unresponsive(now),
-            limit: entry.limit,
+            limit: entry.eligibility.limit(),
             lifetime: entry.lifetime,
         })
     }
@@ -248,8 +248,8 @@
                     attempts = MAX_SLOT_REQUESTS - 1;
                     continue;
                 }
-                if let Some(wait) = self.pool.lock().limit_wait(&needs, now) {
-                    return Err(PlacementError::RateLimited(wait));
+                if let Some(pause) = self.pool.lock().pause(&needs, now) {
+                    return Err(PlacementError::RateLimited(pause.time));
                 }
                 let exists = attempts > 0 || self.pool.lock().can_serve(&needs, now);
                 return Err(if exists {
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -89,7 +89,7 @@
         hosts.sort_unstable();
         holders.retain(&hosts);
         for (_, entry) in pool.iter() {
-            let Some(notice) = entry.limit.filter(|n| n.rate.is_some()) else {
+            let Some(notice) = entry.eligibility.limit().filter(|n| n.rate.is_some()) else {
                 continue;
             };
             let target = &entry.target;
--- a/src/place.rs
+++ b/src/place.rs
@@ -3,6 +3,7 @@
 
 pub mod backoff;
 pub mod death;
+pub mod eligibility;
 pub mod handover;
 pub mod limit;
 pub mod pace;
--- a/src/place/pool.rs
+++ b/src/place/pool.rs
@@ -1,5 +1,6 @@
 //! Targets known to a gateway, and the choice of one for a request.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -8,6 +9,7 @@
 use crate::fleet::catalog::Catalog;
 use crate::fleet::{Phase, Target};
 use crate::place::death::Lifetime;
+use crate::place::eligibility::{Eligibility, Pause, Verdict};
 use crate::place::limit::Notice;
 
 new_key_type! {
@@ -34,13 +36,14 @@
 const LOAD_COST: f64 = 3.0;
 /// Cost of a target without a current agent report.
 const UNREPORTED_COST: f64 = 10.0;
-/// Time for which a failed target is chosen last, per consecutive failure.
-const AVOID_TIME: Duration = Duration::from_millis(400);
-/// Consecutive failures from which that time grows no further.
-const MAX_AVOID_STEPS: u32 = 5;
+/// Cost of a target that is asked only if no other can be.
+const LAST_COST: f64 = 100.0;
 /// Weight of a new sample in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 
+/// Maximum number of lifetimes without a registration of which the pool remembers what they said.
+const MAX_FORMER: usize = 1_024;
+
 /// State of a target, as its agent reported it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AgentState {
@@ -67,18 +70,12 @@
     pub state: Option<AgentState>,
     /// When its agent last failed to answer; `None` after a report.
     pub last_timeout: Option<Instant>,
-    /// Failures since the last success.
-    pub failures: u32,
     /// Moving average of failed requests, 0 to 1.
     pub failure_rate: f64,
-    /// Until when the target is chosen last.
-    pub avoid_until: Option<Instant>,
     /// Hash of the target's lifetime, the same at all gateways.
     pub lifetime: u64,
-    /// What the target last said of its rate limit.
-    pub limit: Option<Notice>,
-    /// Until when its rate limit leaves no room for a request.
-    pub limited_until: Option<Instant>,
+    /// Decides whether the target may be asked.
+    pub eligibility: Eligibility,
 }
 
 impl Entry {
@@ -110,17 +107,6 @@
         let is_recent = |at| now.saturating_duration_since(at) < UNRESPONSIVE_PAUSE;
         self.last_timeout.is_some_and(is_recent)
     }
-
-    /// Time until the target's rate limit leaves room for a request; `None` if it does now.
-    #[must_use]
-    pub fn limit_wait(&self, now: Instant) -> Option<Duration> {
-        let wait = self.limited_until?.saturating_duration_since(now);
-        Some(wait).filter(|w| !w.is_zero())
-    }
-
-    fn is_avoided(&self, now: Instant) -> bool {
-        self.avoid_until.is_some_and(|until| now < until)
-    }
 }
 
 /// What a request needs of a target.
@@ -142,6 +128,9 @@
     entries: SlotMap<TargetKey, Entry>,
     /// Keys by id, sorted.
     ids: Vec<(String, TargetKey)>,
+    /// Lifetimes without a registration, oldest first. A registration may come back, from a
+    /// store that was away or restored, and what its target said still holds.
+    former: VecDeque<(u64, Eligibility)>,
 }
 
 impl Pool {
@@ -159,7 +148,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in gone {
-            self.entries.remove(key);
+            self.remove(key);
         }
         self.ids.retain(|(_, key)| self.entries.contains_key(*key));
         for known in &catalog.targets {
@@ -172,17 +161,16 @@
                     }
                 }
                 Err(i) => {
+                    let lifetime = Lifetime::new(&known.value).fingerprint();
+                    let eligibility = self.take_former(lifetime);
                     let key = self.entries.insert(Entry {
                         target: known.value.clone(),
                         active: 0,
                         state: None,
                         last_timeout: None,
-                        failures: 0,
                         failure_rate: 0.0,
-                        avoid_until: None,
-                        lifetime: Lifetime::new(&known.value).fingerprint(),
-                        limit: None,
-                        limited_until: None,
+                        lifetime,
+                        eligibility: eligibility.unwrap_or_default(),
                     });
                     self.ids.insert(i, (known.name.clone(), key));
                 }
@@ -190,6 +178,28 @@
         }
     }
 
+    fn remove(&mut self, key: TargetKey) {
+        let Some(entry) = self.entries.remove(key) else {
+            return;
+        };
+        // Without its start, a later lifetime under the same id can't be told from this one.
+        if entry.target.started != 0 && entry.eligibility.has_notice() {
+            self.add_former(entry.lifetime, entry.eligibility);
+        }
+    }
+
+    fn add_former(&mut self, lifetime: u64, eligibility: Eligibility) {
+        if self.former.len() == MAX_FORMER {
+            self.former.pop_front();
+        }
+        self.former.push_back((lifetime, eligibility));
+    }
+
+    fn take_former(&mut self, lifetime: u64) -> Option<Eligibility> {
+        let position = self.former.iter().position(|(l, _)| *l == lifetime)?;
+        self.former.remove(position).map(|(_, e)| e)
+    }
+
     /// Returns the target with `key`; `None` when it is no longer registered.
     #[must_use]
     pub fn get(&self, key: TargetKey) -> Option<&Entry> {
@@ -226,26 +236,49 @@
 
     /// Records what a target said of its rate limit. Returns whether the limit changed.
     pub fn record_limit(&mut self, key: TargetKey, notice: Notice) -> bool {
-        let Some(entry) = self.entries.get_mut(key) else {
-            return false;
-        };
-        if !notice.replaces(entry.limit.as_ref()) {
-            return false;
-        }
-        let before = entry.limit.replace(notice).and_then(|n| n.rate);
-        if notice.rate != before {
-            entry.limited_until = None;
-        }
-        before != notice.rate
+        let entry = self.entries.get_mut(key);
+        entry.is_some_and(|e| e.eligibility.record_limit(notice))
     }
 
     /// Records that the rate limit of a target leaves no room until `until`.
     pub fn record_limited(&mut self, key: TargetKey, until: Instant) {
         if let Some(entry) = self.entries.get_mut(key) {
-            entry.limited_until = Some(until);
+            entry.eligibility.record_limited(until);
         }
     }
 
+    /// Records that the lifetime of a target leaves, as an answer of `key` said. Returns whether
+    /// that is new.
+    pub fn record_leaving(&mut self, key: TargetKey, lifetime: u64) -> bool {
+        self.eligibility_mut(key, lifetime).record_leaving()
+    }
+
+    /// Records that the lifetime of a target wants no requests for `wait`, as an answer of `key`
+    /// said. Returns whether no wait was in force before.
+    pub fn record_wait(
+        &mut self,
+        key: TargetKey,
+        lifetime: u64,
+        wait: Duration,
+        now: Instant,
+    ) -> bool {
+        self.eligibility_mut(key, lifetime).record_wait(wait, now)
+    }
+
+    /// What decides about a lifetime of a target. Its registration may have gone since the
+    /// request was sent, and may come back.
+    fn eligibility_mut(&mut self, key: TargetKey, lifetime: u64) -> &mut Eligibility {
+        let is_same = |e: &Entry| e.lifetime == lifetime;
+        let known = self.entries.get(key).is_some_and(is_same).then_some(key);
+        if let Some(key) = known.or_else(|| self.find_lifetime(lifetime)) {
+            return &mut self.entries[key].eligibility;
+        }
+        let eligibility = self.take_former(lifetime).unwrap_or_default();
+        self.add_former(lifetime, eligibility);
+        let last = self.former.len() - 1;
+        &mut self.former[last].1
+    }
+
     /// Returns the key of the target whose lifetime has the hash `lifetime`.
     #[must_use]
     pub fn find_lifetime(&self, lifetime: u64) -> Option<TargetKey> {
@@ -279,14 +312,7 @@
         };
         let sample = if is_success { 0.0 } else { 1.0 };
         entry.failure_rate += (sample - entry.failure_rate) * FAILURE_WEIGHT;
-        if is_success {
-            entry.failures = 0;
-            entry.avoid_until = None;
-        } else {
-            entry.failures += 1;
-            let steps = entry.failures.min(MAX_AVOID_STEPS);
-            entry.avoid_until = Some(now + AVOID_TIME * steps);
-        }
+        entry.eligibility.record_result(is_success, now);
     }
 
     /// Returns the target with the lowest cost for a request; `None` when no target can take
@@ -300,25 +326,39 @@
         mut draw: impl FnMut() -> f64,
     ) -> Option<TargetKey> {
         let usable = self.entries.iter().filter(|(key, e)| {
-            is_candidate(e, needs)
-                && !needs.excluded.contains(key)
-                && has_room(e, needs, now)
-                && e.limit_wait(now).is_none()
+            is_candidate(e, needs) && !needs.excluded.contains(key) && has_room(e, needs, now)
+        });
+        let costs = usable.filter_map(|(key, e)| {
+            let last = match e.eligibility.verdict(now) {
+                Verdict::Ask => 0.0,
+                Verdict::AskLast => LAST_COST,
+                Verdict::Wait(_) | Verdict::Never => return None,
+            };
+            Some((last + cost(e, needs, now) + draw(), key))
         });
-        let costs = usable.map(|(key, e)| (cost(e, needs, now) + draw(), key));
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, key)| key)
     }
 
-    /// Returns the time until a rate limit leaves room for the request at one of the targets that
-    /// are not excluded; `None` unless limits alone keep it from all of them.
+    /// Returns the shortest pause of the targets that could take the request; `None` unless
+    /// pauses keep it from all of them that are not excluded.
     #[must_use]
-    pub fn limit_wait(&self, needs: &Requirements<'_>, now: Instant) -> Option<Duration> {
-        let candidates = self.entries.iter().filter(|(key, e)| {
-            is_candidate(e, needs) && !needs.excluded.contains(key) && has_room(e, needs, now)
-        });
-        let waits: Option<Vec<Duration>> = candidates.map(|(_, e)| e.limit_wait(now)).collect();
-        waits?.into_iter().min()
+    pub fn pause(&self, needs: &Requirements<'_>, now: Instant) -> Option<Pause> {
+        let mut shortest: Option<Pause> = None;
+        for (key, entry) in &self.entries {
+            if !is_candidate(entry, needs) || !has_room(entry, needs, now) {
+                continue;
+            }
+            match entry.eligibility.verdict(now) {
+                Verdict::Wait(pause) if shortest.is_none_or(|s| pause.time < s.time) => {
+                    shortest = Some(pause);
+                }
+                Verdict::Wait(_) | Verdict::Never => {}
+                Verdict::Ask | Verdict::AskLast if needs.excluded.contains(&key) => {}
+                Verdict::Ask | Verdict::AskLast => return None,
+            }
+        }
+        shortest
     }
 
     /// Returns whether some ready target of the service has the weights that the request needs.
@@ -326,6 +366,7 @@
     pub fn can_serve(&self, needs: &Requirements<'_>, now: Instant) -> bool {
         self.entries.values().any(|e| {
             is_candidate(e, needs)
+                && e.eligibility.verdict(now) != Verdict::Never
                 && needs
                     .min_version
                     .is_none_or(|min| e.weights(now).is_some_and(|v| v >= min))
@@ -338,7 +379,7 @@
     entry.target.service == needs.service && entry.target.phase == Phase::Ready
 }
 
-/// Whether the target can take a request, as far as the gateway knows, if its rate limit allows.
+/// Whether the target can take a request, as far as the gateway knows, if it may be asked.
 fn has_room(entry: &Entry, needs: &Requirements<'_>, now: Instant) -> bool {
     let Some(min_version) = needs.min_version else {
         return true;
@@ -352,11 +393,10 @@
     }
 }
 
-/// Cost of a target. Costs that differ by 1 or more decide the choice; below that the
+/// Cost of a target that may be asked. Costs that differ by 1 or more decide the choice; below that the
 /// random part matters too.
 fn cost(entry: &Entry, needs: &Requirements<'_>, now: Instant) -> f64 {
     let is_remote = entry.target.data_center != needs.data_center;
-    let avoided = if entry.is_avoided(now) { 100.0 } else { 0.0 };
     let failures = entry.failure_rate * 20.0;
     let load = match (needs.min_version, entry.current_state(now)) {
         (Some(_), Some(state)) => {
@@ -377,5 +417,5 @@
             distance + f64::from(entry.active)
         }
     };
-    avoided + failures + load
+    failures + load
 }
--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -42,6 +43,8 @@
     Respond(&'static str),
     /// Rejects the request without running it.
     Decline,
+    /// Rejects the request without running it, and names this time as `retry-after`.
+    DeclineFor(&'static str),
     /// Runs the request and closes the connection without a response.
     CloseConnection,
     /// Responds with the id of another request.
@@ -95,6 +98,8 @@
     restart_time: Arc<Mutex<Duration>>,
     /// Rate limit that the target names in its answers.
     rate_limit: Arc<Mutex<Option<&'static str>>>,
+    /// Whether the target says in its answers that it leaves.
+    is_leaving: Arc<AtomicBool>,
     behavior: Arc<Mutex<Behavior>>,
     received: Arc<Mutex<Vec<Received>>>,
     engine: Arc<Mutex<Engine>>,
@@ -118,6 +123,7 @@
             id: Arc::new(Mutex::new(id.to_owned())),
             restart_time: Arc::new(Mutex::new(RESTART_TIME)),
             rate_limit: Arc::default(),
+            is_leaving: Arc::default(),
             behavior: Arc::new(Mutex::new(behavior)),
             received: Arc::default(),
             engine: Arc::new(Mutex::new(engine)),
@@ -153,6 +159,11 @@
         *self.rate_limit.lock() = limit;
     }
 
+    /// Sets whether the target says in its answers that it leaves.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.is_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
     /// Waits until the target is back after its next crash.
     pub async fn wait_for_restart(&self) {
         let mut is_away = self.is_away.subscribe();
@@ -235,7 +246,7 @@
             uri: parts.uri,
             headers: parts.headers,
             body: data,
-            ran: behavior != Behavior::Decline,
+            ran: !matches!(behavior, Behavior::Decline | Behavior::DeclineFor(_)),
             at: Instant::now(),
         });
         let mut response = match behavior {
@@ -265,6 +276,9 @@
         if let Some(limit) = *self.rate_limit.lock() {
             headers.insert("server-limit", http::HeaderValue::from_static(limit));
         }
+        if self.is_leaving.load(Ordering::Relaxed) {
+            headers.insert("server-leaving", http::HeaderValue::from_static("1"));
+        }
         headers.insert(
             "x-corianderramp-server-stamp",
             http::HeaderValue::from_str(&own_id).map_err(|_| connection_reset())?,
@@ -291,12 +305,11 @@
             Behavior::CrashOnPath(_) => self.work(false).await,
             Behavior::Respond(text) => Ok(full_response(StatusCode::OK, *text)),
             Behavior::WrongRequestId => Ok(full_response(StatusCode::OK, "for somebody else")),
-            Behavior::Decline => {
-                let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, "");
-                let one = http::HeaderValue::from_static("1");
-                response
-                    .headers_mut()
-                    .insert("x-corianderramp-not-run", one);
+            Behavior::Decline => Ok(declined()),
+            Behavior::DeclineFor(wait) => {
+                let mut response = declined();
+                let wait = http::HeaderValue::from_static(wait);
+                response.headers_mut().insert("retry-after", wait);
                 Ok(response)
             }
             Behavior::CloseConnection => Err(connection_reset()),
@@ -401,6 +414,16 @@
     }
 }
 
+/// Response that states that the request was not run.
+fn declined() -> HttpResponse {
+    let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, "");
+    let one = http::HeaderValue::from_static("1");
+    response
+        .headers_mut()
+        .insert("x-corianderramp-not-run", one);
+    response
+}
+
 /// Returns the `spec` of a configuration with a model service `llm`, a plain service `desk`
 /// and the origin of weights at `origin`.
 #[must_use]
--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -7,6 +7,7 @@
 use corianderramp::fleet::catalog::{Catalog, Entry};
 use corianderramp::fleet::{Phase, Target};
 use corianderramp::node::message::RateLimit;
+use corianderramp::place::eligibility::{Cause, Pause};
 use corianderramp::place::limit::{Limits, Notice, Permit};
 use corianderramp::place::pool::{Pool, Requirements};
 use corianderramp::place::slots::GrantId;
@@ -239,11 +240,15 @@
         let draw = f64::from(n) / 10.0;
         assert_eq!(pool.choose(&needs, now, || draw), Some(keys[1]));
     }
-    assert_eq!(pool.limit_wait(&needs, now), None);
+    assert_eq!(pool.pause(&needs, now), None);
     pool.record_limit(keys[1], notice(Some(1.0), now));
     pool.record_limited(keys[1], now + ms(700));
     assert_eq!(pool.choose(&needs, now, || 0.5), None);
-    assert_eq!(pool.limit_wait(&needs, now), Some(ms(700)));
+    let pause = Pause {
+        time: ms(700),
+        cause: Cause::RateLimit,
+    };
+    assert_eq!(pool.pause(&needs, now), Some(pause));
     assert_eq!(pool.choose(&needs, now + ms(700), || 0.5), Some(keys[1]));
     let end = Notice {
         rate: None,
