Send no requests to a target that says it leaves

A target that leaves says so in all its answers (`Server-Leaving: 1`), also while its registration still says that it is ready.

Gateways now record the word with the target's lifetime, which a slot keeps, so that an answer counts also if the registration has gone meanwhile. The word is final for that lifetime. A request that waited for a slot when the word came goes elsewhere. Streams in progress go on.

Answers with status 421 are not read: another process may have sent them, and would end the lifetime of a target that is just starting at its address.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -36,6 +36,7 @@
 mod guard;
 mod handle;
 mod limits;
+mod notices;
 mod probe;
 mod server;
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -382,7 +382,7 @@
             return Err(SendError::MayHaveRun("answer to another request"));
         }
         if head.status != StatusCode::MISDIRECTED_REQUEST {
-            self.observe_limit(call, slot.key, &head, sent);
+            self.observe_head(call, &slot, &head, sent);
         }
         if head.status == StatusCode::MISDIRECTED_REQUEST || request::not_run(&head.headers) {
             return Err(SendError::NotRun("target declined"));
@@ -407,6 +407,10 @@
         let min_version = self.required_version(call, now);
         let pool = self.pool.lock();
         let entry = pool.get(key)?;
+        // The target may have said so while this request waited for a slot or a connection.
+        if entry.eligibility.is_unwanted(now) {
+            return None;
+        }
         let must_check = min_version.is_some_and(|v| v > 1) && !entry.has_agent(now);
         let weights = if must_check { entry.weights(now) } else { None };
         Some((entry.target.id.clone(), weights))
--- a/src/gateway/guard.rs
+++ b/src/gateway/guard.rs
@@ -16,6 +16,8 @@
     pub key: TargetKey,
     /// Address of the target.
     pub address: SocketAddr,
+    /// Hash of the target's lifetime.
+    pub lifetime: u64,
     /// Request id of the slot that the host granted; `None` without a grant.
     request_id: Option<u64>,
 }
@@ -28,11 +30,12 @@
         address: SocketAddr,
         request_id: Option<u64>,
     ) -> Self {
-        gateway.pool.lock().begin_request(key);
+        let lifetime = gateway.pool.lock().begin_request(key);
         Self {
             gateway: gateway.clone(),
             key,
             address,
+            lifetime,
             request_id,
         }
     }
--- a/src/place/pool.rs
+++ b/src/place/pool.rs
@@ -288,14 +288,17 @@
             .map(|(key, _)| key)
     }
 
-    /// Counts a request that is placed on the target.
-    pub fn begin_request(&mut self, key: TargetKey) {
-        if let Some(entry) = self.entries.get_mut(key) {
-            entry.active += 1;
-            if let Some(state) = &mut entry.state {
-                state.free = state.free.saturating_sub(1);
-            }
+    /// Counts a request that is placed on the target. Returns the hash of the target's lifetime;
+    /// 0 if it is no longer registered.
+    pub fn begin_request(&mut self, key: TargetKey) -> u64 {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return 0;
+        };
+        entry.active += 1;
+        if let Some(state) = &mut entry.state {
+            state.free = state.free.saturating_sub(1);
         }
+        entry.lifetime
     }
 
     /// Counts the end of a request.
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -25,6 +25,8 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("x-corianderramp-not-run");
 /// Requests per second that the target takes from all gateways together, a decimal number.
 const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// `1` in all answers of a target that leaves.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -139,6 +141,23 @@
     rate.map(Some)
 }
 
+/// Whether a target says in an answer that it leaves.
+///
+/// ```
+/// use corianderramp::platform::request;
+/// use http::HeaderMap;
+///
+/// let mut headers = HeaderMap::new();
+/// assert!(!request::is_leaving(&headers));
+/// headers.insert("server-leaving", "1".parse().unwrap());
+/// assert!(request::is_leaving(&headers));
+/// ```
+#[must_use]
+pub fn is_leaving(headers: &HeaderMap) -> bool {
+    let mut values = headers.get_all(LEAVING).iter();
+    values.any(|v| v.as_bytes().trim_ascii() == b"1")
+}
+
 /// Values of the headers that a gateway sets on a request to a target.
 #[derive(Clone, Debug)]
 pub struct TargetHeaders<'a> {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -67,7 +67,7 @@
 
 /// All metrics that the processes export. docs/operations/metrics.md says what to do
 /// when one of them changes.
-pub const METRICS: [Metric; 26] = [
+pub const METRICS: [Metric; 27] = [
     Metric {
         name: REQUESTS_TOTAL,
         kind: Type::Counter,
@@ -182,6 +182,12 @@
         labels: &[],
         help: "Returns of the store from a copy that this process followed",
     },
+    Metric {
+        name: "corianderramp_gateway_notices_total",
+        kind: Type::Counter,
+        labels: &["notice"],
+        help: "Changes of what targets say of themselves in answers, by kind",
+    },
     Metric {
         name: "corianderramp_gateway_sends_total",
         kind: Type::Counter,
