Keep away from a target for the time that it names

A target that turns a request away with 503 may name in `Retry-After` for how long it wants none from that gateway. Gateways replaced the header by one of their own and asked again at once.

Each gateway now keeps the wait. A refused request goes to another target, within max_attempts, the retry budget and its deadline as before; others pass the target by, also those that waited for a slot. If all targets of a service name waits, callers are refused as `asked to wait` without asking any, and told the earliest end and a random part of up to a third of their time on top, so that they don't return together. Retry-After is rounded up: rounded to the nearest, it could name a time before the end.

Only decimal seconds count, as the platform's pages say: no dates, signs or exponents. The wait of a 503 counts also if it does not say that the request was not run; that of a 429 does not, as it is for the caller.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -128,6 +128,8 @@
     CrashesTargets,
     /// The rate limits of all targets leave no room; the time until one does.
     RateLimited(Duration),
+    /// All targets want no requests; the time until one does.
+    AskedToWait(Duration),
     /// No target serves the request now, or the last attempt can't be retried.
     NoTarget,
 }
@@ -178,7 +180,7 @@
 
 impl<C: Clock> Gateway<C> {
     /// Lowest version of the weights that may serve the request; `None` for plain services.
-    fn required_version(&self, call: &Call, now: Instant) -> Option<u64> {
+    pub(super) fn required_version(&self, call: &Call, now: Instant) -> Option<u64> {
         if !call.has_engine() {
             return None;
         }
@@ -249,7 +251,7 @@
                     continue;
                 }
                 if let Some(pause) = self.pool.lock().pause(&needs, now) {
-                    return Err(PlacementError::RateLimited(pause.time));
+                    return Err(pause.into());
                 }
                 let exists = attempts > 0 || self.pool.lock().can_serve(&needs, now);
                 return Err(if exists {
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -365,10 +365,12 @@
                 INTERRUPTED
             };
         }
+        let error = self.refusal_cause(call, trace, error);
         let outcome = match error {
             PlacementError::CrashesTargets => return CRASHES_TARGETS,
             PlacementError::Full => "no place",
             PlacementError::RateLimited(_) => "rate limited",
+            PlacementError::AskedToWait(_) => "asked to wait",
             PlacementError::NoTarget if trace.sends > 0 => "declined",
             PlacementError::NoTarget => NO_TARGET,
         };
@@ -383,6 +385,7 @@
         };
         let wait = match error {
             PlacementError::RateLimited(limit) => wait.max(limit),
+            PlacementError::AskedToWait(pause) => refusals.retry_after_pause(pause, left, draw),
             _ => wait,
         };
         Refusal {
--- a/src/place/backoff.rs
+++ b/src/place/backoff.rs
@@ -5,6 +5,10 @@
 //! they would add to the overload. The retries are therefore spread over the time in which
 //! slots become free, and are later the larger the share of refused requests is.
 //!
+//! All targets of a service may turn requests away for a time that they name. Callers that come
+//! back before it ends are refused again; if all came right at its end, the targets in need would
+//! get the requests of the whole pause at once. They are told the end, and spread after it.
+//!
 //! While new weights are transferred, no target may serve for some seconds. Callers that
 //! retry early are refused again. Each therefore retries as late as it accepts, and the
 //! retries stay as evenly spread as the first requests were.
@@ -78,6 +82,14 @@
         earliest + span.mul_f64(draw)
     }
 
+    /// Returns the time after which a caller should retry that was refused because no target wants
+    /// requests for `pause`. `left` and `draw` are those of [`Self::retry_after`].
+    #[must_use]
+    pub fn retry_after_pause(&self, pause: Duration, left: Duration, draw: f64) -> Duration {
+        let (_, range) = Self::range(left);
+        pause + range.mul_f64(self.share().max(MIN_SPREAD) * draw)
+    }
+
     /// Returns the time after which a caller should retry that was refused because no target
     /// serves. `left` and `draw` are those of [`Self::retry_after`].
     #[must_use]
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -158,6 +158,39 @@
     values.any(|v| v.as_bytes().trim_ascii() == b"1")
 }
 
+/// Time for which a target wants no requests, from the `retry-after` of an answer; `None` if it
+/// names none, or nothing that the platform's pages allow: decimal seconds. Of several, the
+/// longest counts.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use corianderramp::platform::request;
+/// use http::HeaderMap;
+///
+/// let mut headers = HeaderMap::new();
+/// assert_eq!(request::requested_wait(&headers), None);
+/// headers.insert("retry-after", "2.5".parse().unwrap());
+/// assert_eq!(request::requested_wait(&headers), Some(Duration::from_millis(2_500)));
+/// headers.insert("retry-after", "-1".parse().unwrap());
+/// assert_eq!(request::requested_wait(&headers), None);
+/// ```
+#[must_use]
+pub fn requested_wait(headers: &HeaderMap) -> Option<Duration> {
+    let values = headers.get_all(header::RETRY_AFTER).iter();
+    let waits = values.filter_map(|v| decimal_seconds(v.to_str().ok()?.trim()));
+    waits.max()
+}
+
+/// Duration of a number of seconds without sign or exponent; the longest one if it is too large.
+fn decimal_seconds(text: &str) -> Option<Duration> {
+    if !text.bytes().all(|b| b.is_ascii_digit() || b == b'.') {
+        return None;
+    }
+    let seconds = text.parse().ok()?;
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// Values of the headers that a gateway sets on a request to a target.
 #[derive(Clone, Debug)]
 pub struct TargetHeaders<'a> {
@@ -262,9 +295,11 @@
     }
 }
 
-/// Sets `retry-after` to `wait`, in seconds with two decimals as the platform allows.
+/// Sets `retry-after` to `wait`, in seconds with two decimals as the platform allows. It is rounded
+/// up: a caller that comes back early is refused again.
 pub fn retry_after(headers: &mut HeaderMap, wait: Duration) {
-    let seconds = format!("{:.2}", wait.as_secs_f64());
+    let hundredths = wait.as_nanos().div_ceil(10_000_000);
+    let seconds = format!("{}.{:02}", hundredths / 100, hundredths % 100);
     set(headers, header::RETRY_AFTER, &seconds);
 }
 
--- a/standins/tests/target_messages.rs
+++ b/standins/tests/target_messages.rs
@@ -1,4 +1,4 @@
-//! Targets say in their answers that they leave.
+//! Targets say in their answers that they leave, or until when they want no requests.
 
 #![allow(clippy::unwrap_used)]
 
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Method, Response, StatusCode};
+use http::{Method, Response, StatusCode, header};
 use rand::RngExt;
 use standins::users::{self, Behavior, Target};
 use tokio::task::JoinSet;
@@ -21,6 +21,13 @@
 const LOAD_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after a gateway was told that a target leaves from which it must send nothing there.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time for requests that were on their way when a target asked for none.
+const IN_FLIGHT_TIME: Duration = Duration::from_millis(500);
+/// Time that targets name as `retry-after`.
+const WAIT: Duration = Duration::from_millis(2_500);
+const WAIT_TEXT: &str = "2.5";
+/// Time in which a refusal must come if no target is asked.
+const REFUSAL_TIME: Duration = Duration::from_millis(200);
 const GATEWAYS: std::ops::Range<u8> = 24..30;
 const ENGINE: (Method, &str) = (Method::POST, "/plan/x");
 const PLAIN: (Method, &str) = (Method::GET, "/check/x");
@@ -38,13 +45,22 @@
 
 /// Response to a request of the load.
 struct Answer {
+    gateway: usize,
     response: Response<Bytes>,
+    sent: Instant,
+    came: Instant,
 }
 
 impl Answer {
     fn is_served(&self) -> bool {
         self.response.status() == StatusCode::OK
     }
+
+    /// Time that a refused caller is told to wait.
+    fn retry_after(&self) -> Duration {
+        let value = self.response.headers().get(header::RETRY_AFTER).unwrap();
+        Duration::from_secs_f64(value.to_str().unwrap().parse().unwrap())
+    }
 }
 
 impl Deployment {
@@ -101,8 +117,15 @@
             let id = format!("{gateway}-{:016x}", rand::rng().random::<u64>());
             let request = request(self.route.0.clone(), self.route.1, &id);
             requests.spawn(async move {
+                let sent = Instant::now();
                 let response = call(address, request).await.unwrap();
-                Answer { response }
+                let came = Instant::now();
+                Answer {
+                    gateway,
+                    response,
+                    sent,
+                    came,
+                }
             });
         }
         requests.join_all().await
@@ -117,6 +140,7 @@
             Some(Arrival {
                 gateway: gateway.parse().ok()?,
                 at: r.at,
+                ran: r.ran,
             })
         });
         arrivals.collect()
@@ -134,12 +158,31 @@
         });
         late.sum()
     }
+
+    /// For each refusal of a target, the number of arrivals from its gateway within the time
+    /// in which the target wanted none; refusals without any are left out.
+    fn early(&self) -> Vec<usize> {
+        let targets = self.targets.iter().map(Self::arrivals);
+        let counts = targets.flat_map(|arrivals| {
+            let refusals = arrivals.iter().filter(|a| !a.ran);
+            let count = refusals.map(|refusal| {
+                let forbidden = refusal.at + IN_FLIGHT_TIME..refusal.at + WAIT;
+                let early = arrivals
+                    .iter()
+                    .filter(|a| a.gateway == refusal.gateway && forbidden.contains(&a.at));
+                early.count()
+            });
+            count.filter(|c| *c > 0).collect::<Vec<_>>()
+        });
+        counts.collect()
+    }
 }
 
 /// Request of the load that reached a target.
 struct Arrival {
     gateway: usize,
     at: Instant,
+    ran: bool,
 }
 
 fn share_served(answers: &[Answer]) -> f64 {
@@ -257,3 +300,114 @@
     assert_eq!(sent.count(), ids.len(), "sent again");
     assert!(begun >= 3, "{begun} streams at the leaving engine");
 }
+
+async fn assert_wait_is_kept(deployment: &Deployment, behavior: Behavior) {
+    deployment.targets[0].set_behavior(Behavior::DeclineFor(WAIT_TEXT));
+    let answers = deployment.load(Duration::from_secs(8)).await;
+    let served = share_served(&answers);
+    let early = deployment.early();
+    assert!(
+        early.is_empty() && served >= 0.97,
+        "{} refusals with early requests, at most {:?}; {served:.3} served",
+        early.len(),
+        early.iter().max()
+    );
+    deployment.targets[0].set_behavior(behavior);
+    time::sleep(WAIT).await;
+    let restart = Instant::now();
+    deployment.load(Duration::from_secs(2)).await;
+    let arrivals = Deployment::arrivals(&deployment.targets[0]);
+    let used = arrivals.iter().filter(|a| a.at >= restart).count();
+    assert!(used > 0, "the target is not used again");
+}
+
+/// One engine of three wanted no requests for a while, got them all the same, and callers were
+/// refused although two others served.
+#[tokio::test]
+async fn engine_that_names_a_wait_gets_no_requests_in_it() {
+    let deployment = Deployment::engines(3).await;
+    assert_wait_is_kept(&deployment, STREAM).await;
+}
+
+/// The same at a plain target, which no host stands before.
+#[tokio::test]
+async fn plain_target_that_names_a_wait_gets_no_requests_in_it() {
+    let deployment = Deployment::plain(4).await;
+    assert_wait_is_kept(&deployment, REPLY).await;
+}
+
+async fn assert_waits_of_all_are_kept(deployment: &Deployment, behavior: Behavior) {
+    let start = Instant::now();
+    for target in &deployment.targets {
+        target.set_behavior(Behavior::DeclineFor(WAIT_TEXT));
+    }
+    let answers = deployment.load(Duration::from_secs(8)).await;
+    let early = deployment.early();
+    assert!(
+        early.is_empty(),
+        "{} refusals with early requests, at most {:?}",
+        early.len(),
+        early.iter().max()
+    );
+    assert!(answers.iter().all(|a| !a.is_served()));
+    let targets: Vec<Vec<Arrival>> = deployment
+        .targets
+        .iter()
+        .map(Deployment::arrivals)
+        .collect();
+    let mut waits = Vec::new();
+    for answer in &answers {
+        // Until when each target wants none, as far as the gateway was told.
+        let ends = targets.iter().map(|arrivals| {
+            let known = arrivals
+                .iter()
+                .filter(|a| a.gateway == answer.gateway && a.at >= start && a.at < answer.sent);
+            known.map(|a| a.at + WAIT).max()
+        });
+        let ends: Option<Vec<Instant>> = ends.collect();
+        let Some(earliest) = ends.and_then(|e| e.into_iter().min()) else {
+            continue;
+        };
+        if earliest < answer.came + IN_FLIGHT_TIME {
+            continue;
+        }
+        let took = answer.came - answer.sent;
+        assert!(took < REFUSAL_TIME, "refused after {took:?}");
+        let left = earliest - answer.came;
+        let wait = answer.retry_after();
+        let latest = left + Duration::from_secs(1);
+        assert!(
+            (left..latest).contains(&wait),
+            "told {wait:?}, {left:?} are left"
+        );
+        waits.push(wait.checked_sub(left).unwrap());
+    }
+    assert!(waits.len() > 100, "{} refusals in the wait", waits.len());
+    let (first, last) = (waits.iter().min().unwrap(), waits.iter().max().unwrap());
+    let spread = last.checked_sub(*first).unwrap();
+    assert!(
+        spread > Duration::from_millis(100),
+        "spread over {spread:?}"
+    );
+    for target in &deployment.targets {
+        target.set_behavior(behavior.clone());
+    }
+    time::sleep(WAIT).await;
+    let answers = deployment.load(Duration::from_secs(1)).await;
+    assert!(answers.iter().all(Answer::is_served));
+}
+
+/// With all engines in need, callers were refused only after engines had been asked, and were
+/// told to come back too early.
+#[tokio::test]
+async fn waits_of_all_engines_are_kept_and_told_to_callers() {
+    let deployment = Deployment::engines(5).await;
+    assert_waits_of_all_are_kept(&deployment, STREAM).await;
+}
+
+/// The same at plain targets.
+#[tokio::test]
+async fn waits_of_all_plain_targets_are_kept_and_told_to_callers() {
+    let deployment = Deployment::plain(6).await;
+    assert_waits_of_all_are_kept(&deployment, REPLY).await;
+}
--- a/tests/eligibility.rs
+++ b/tests/eligibility.rs
@@ -203,6 +203,7 @@
     let targets: Vec<Target> = (1..4).map(|n| target(n, 1)).collect();
     pool.record_leaving(known[0].0, known[0].1);
     pool.record_wait(known[1].0, known[1].1, ms(2_500), start);
+    pool.record_wait(known[2].0, known[2].1, ms(2_500), start);
     let after_restart = catalog(&[target(1, 2), target(3, 1)]);
     pool.sync(&after_restart);
     let (next, _) = lifetime(&pool, &targets[0]);
@@ -216,6 +217,17 @@
     }
     pool.sync(&after_restart);
     assert!(!is_never(&pool, lifetime(&pool, &targets[0]).0));
+    // A wait holds for its lifetime only.
+    let verdict = |pool: &Pool, target: &Target| {
+        let (key, _) = lifetime(pool, target);
+        pool.get(key).unwrap().eligibility.verdict(start)
+    };
+    assert_eq!(
+        verdict(&pool, &target(3, 1)),
+        Verdict::Wait(pause(ms(2_500)))
+    );
+    pool.sync(&catalog(&[target(3, 2)]));
+    assert_eq!(verdict(&pool, &target(3, 2)), Verdict::Ask);
     // Another target at the address of one that left.
     let mut other = target(1, 3);
     other.id = "i-9".to_owned();
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -215,3 +215,28 @@
     let next = pacer.reserve(10_000, 1.0, now);
     assert_eq!(next.begin, now + Duration::from_millis(52));
 }
+
+/// Guards against callers that all come back at the moment at which targets in need take requests
+/// again, or before it.
+#[test]
+fn callers_return_spread_after_the_end_of_a_pause() {
+    let now = Instant::now();
+    let mut refusals = RefusalRate::new(now);
+    for _ in 0..100 {
+        refusals.record(false, now);
+    }
+    let (pause, left) = (Duration::from_millis(1_400), Duration::from_secs(6));
+    let late = (0..1_000).map(|i| {
+        let wait = refusals.retry_after_pause(pause, left, f64::from(i) / 1_000.0);
+        wait.checked_sub(pause).unwrap().as_millis()
+    });
+    let late: Vec<u128> = late.collect();
+    for bucket in 0..20 {
+        let range = bucket * 100..(bucket + 1) * 100;
+        let together = late.iter().filter(|l| range.contains(*l)).count();
+        assert!(
+            together <= 100,
+            "{together} of 1000 return {range:?} ms after the end"
+        );
+    }
+}
