Let targets leave and name waits in the soak

The soak sent neither message. Targets now name waits, also zero, negative and unreadable ones, and say that they leave; clearing the faults then gives all targets a new lifetime. Checked from what targets receive, for each gateway without a fault or new lifetime in between: nothing later than 2 s after it was told of a leaving, and at most two requests between half a second after a refusal and the end of its wait.

The checks of the responses are unchanged.

--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -66,6 +66,16 @@
     Hang,
 }
 
+impl Behavior {
+    /// Whether a gateway gets the head of the answer and takes it for that of its request.
+    fn has_readable_head(&self) -> bool {
+        matches!(
+            self,
+            Self::Respond(_) | Self::Decline | Self::DeclineFor(_) | Self::Stream(..)
+        )
+    }
+}
+
 /// Request that a target received.
 #[derive(Clone, Debug)]
 pub struct Received {
@@ -79,6 +89,10 @@
     pub ran: bool,
     /// When it arrived.
     pub at: Instant,
+    /// Whether its answer says that the target leaves.
+    pub told_leaving: bool,
+    /// Time that its answer names as `retry-after`.
+    pub told_wait: Option<&'static str>,
 }
 
 /// Engine state of a target.
@@ -242,12 +256,18 @@
         }
         let path = parts.uri.path().to_owned();
         let behavior = self.behavior.lock().clone();
+        let is_leaving = self.is_leaving.load(Ordering::Relaxed);
         self.received.lock().push(Received {
             uri: parts.uri,
             headers: parts.headers,
             body: data,
             ran: !matches!(behavior, Behavior::Decline | Behavior::DeclineFor(_)),
             at: Instant::now(),
+            told_leaving: is_leaving && behavior.has_readable_head(),
+            told_wait: match behavior {
+                Behavior::DeclineFor(wait) => Some(wait),
+                _ => None,
+            },
         });
         let mut response = match behavior {
             Behavior::CrashOnPath(text) if path.contains(text) && path.ends_with("/partial") => {
@@ -276,7 +296,7 @@
         if let Some(limit) = *self.rate_limit.lock() {
             headers.insert("server-limit", http::HeaderValue::from_static(limit));
         }
-        if self.is_leaving.load(Ordering::Relaxed) {
+        if is_leaving {
             headers.insert("server-leaving", http::HeaderValue::from_static("1"));
         }
         headers.insert(
--- a/standins/tests/soak_platform.rs
+++ b/standins/tests/soak_platform.rs
@@ -1,7 +1,7 @@
 //! Randomized soak test of gateway and host processes on the simulated users' platform.
 //!
 //! While callers send requests, processes are stopped, killed, paused, reloaded and
-//! restarted, targets misbehave, crash and name rate limits, the store rejects calls of single
+//! restarted, targets misbehave, crash, name rate limits and waits and leave, the store rejects calls of single
 //! VMs, never answers calls of one kind or comes back from an older copy, and versions are released; these faults overlap. The
 //! test checks the responses that callers receive and the requests that targets receive.
 //! `SOAK_SEEDS=1-16` selects the seeds, at most sixteen per run because each uses addresses of
@@ -13,7 +13,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use corianderramp::net;
 use corianderramp::node::settings::{Bounds, Listen, Role, Settings, Target as HostTarget};
@@ -29,6 +29,11 @@
 use standins::users::{self, Behavior, Origin, Store, Target};
 use tokio::time;
 
+use soak_messages::Disturbances;
+
+#[path = "support/soak_messages.rs"]
+mod soak_messages;
+
 /// Seeds for CI, including those that failed before.
 const SEEDS: [u64; 1] = [1];
 /// Seconds of fault injection per seed in CI.
@@ -69,6 +74,7 @@
     store: Store,
     desks: Vec<Target>,
     engines: Vec<Target>,
+    disturbances: Mutex<Disturbances>,
     folder: tempfile::TempDir,
 }
 
@@ -92,6 +98,7 @@
             store,
             desks,
             engines,
+            disturbances: Mutex::default(),
             folder: tempfile::tempdir().unwrap(),
         }
     }
@@ -137,7 +144,7 @@
     async fn inject_fault(&self, rng: &mut StdRng, nodes: &mut [Node], version: &mut u64) {
         let index = rng.random_range(0..nodes.len());
         let (role, vm) = (nodes[index].role, nodes[index].vm);
-        match rng.random_range(0..14) {
+        match rng.random_range(0..16) {
             0 => {
                 nodes[index].process.kill();
                 nodes[index] = self.start_node(role, vm);
@@ -164,6 +171,7 @@
                     Behavior::Decline,
                     Behavior::CloseConnection,
                     Behavior::WrongRequestId,
+                    Behavior::DeclineFor("0.9"),
                 ];
                 let behavior = behaviors[rng.random_range(0..behaviors.len())].clone();
                 self.desks[rng.random_range(0..self.desks.len())].set_behavior(behavior);
@@ -194,12 +202,25 @@
             }
             11 => self.engines[rng.random_range(0..self.engines.len())].crash(),
             12 => self.restore_store(rng.random_range(1..6), *version).await,
+            13 => {
+                let waits = ["1.4", "2", "0", "-1", "soon"];
+                let wait = waits[rng.random_range(0..waits.len())];
+                self.any_target(rng)
+                    .set_behavior(Behavior::DeclineFor(wait));
+            }
+            14 => {
+                self.any_target(rng).set_leaving(true);
+                self.disturbances.lock().add_leaving();
+            }
             _ => {
                 let last = rng.random_range(2..9);
                 let engine = rng.random_range(0..self.engines.len());
                 self.engines[engine].set_behavior(Behavior::Stream(1, last));
             }
         }
+        if index >= HOSTS.len() {
+            self.disturbances.lock().add_gateway(vm, Instant::now());
+        }
         // Clearing the faults now and then makes some end while others start.
         if rng.random_range(0..3) == 0 {
             self.clear_faults();
@@ -217,7 +238,8 @@
         for (vm, service) in targets() {
             let address = self.net.address(vm, 9000);
             let loaded = u64::from(service == "llm");
-            let spec = users::target_spec(service, address, loaded);
+            let mut spec = users::target_spec(service, address, loaded);
+            spec["born"] = self.disturbances.lock().born().into();
             self.store.put("servers", &format!("i-{vm}"), spec);
         }
         if version > 1 {
@@ -238,6 +260,29 @@
             .for_each(|e| e.set_behavior(Behavior::Stream(1, 10)));
         let targets = self.desks.iter().chain(&self.engines);
         targets.for_each(|t| t.set_rate_limit(None));
+        self.restart_targets();
+    }
+
+    /// Ends the leaving of targets, if any leaves: all begin new lifetimes.
+    fn restart_targets(&self) {
+        let all = self.engines.iter().chain(&self.desks);
+        all.for_each(|t| t.set_leaving(false));
+        let Some(born) = self.disturbances.lock().restart(Instant::now()) else {
+            return;
+        };
+        for (vm, service) in targets() {
+            let address = self.net.address(vm, 9000);
+            let loaded = u64::from(service == "llm");
+            let mut spec = users::target_spec(service, address, loaded);
+            spec["born"] = born.into();
+            self.store.put("servers", &format!("i-{vm}"), spec);
+        }
+    }
+
+    fn any_target(&self, rng: &mut StdRng) -> &Target {
+        let count = self.desks.len() + self.engines.len();
+        let index = rng.random_range(0..count);
+        self.desks.iter().chain(&self.engines).nth(index).unwrap()
     }
 }
 
@@ -363,7 +408,7 @@
                 }
                 let gateway = GATEWAYS[rng.random_range(0..GATEWAYS.len())];
                 let address = soak.net.address(gateway, 8080);
-                let id = format!("{seed}-{caller}-{number}");
+                let id = format!("{gateway}-{seed}-{caller}-{number}");
                 let done = send(address, id, rng.random()).await;
                 completed.lock().push(done);
                 time::sleep(Duration::from_millis(rng.random_range(1..30))).await;
@@ -411,6 +456,10 @@
         served.count()
     );
     check(seed, &completed, &soak.desks);
+    let disturbances = soak.disturbances.lock();
+    for target in soak.desks.iter().chain(&soak.engines) {
+        disturbances.check(seed, &target.received());
+    }
 }
 
 /// Guards against unsafe requests that run twice, rejected requests that ran, truncated
