--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -41,6 +41,7 @@
 mod handle;
 mod hedge;
 mod limits;
+mod notices;
 mod probe;
 mod server;
 mod source;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -47,6 +47,8 @@
     CrashesTargets,
     /// The rate limits of all targets leave no room; the time until one does.
     RateLimited(Duration),
+    /// All targets want no requests; the time until one does.
+    AskedToWait(Duration),
     /// No target serves the request now, or the last attempt can't be retried.
     NoTarget,
 }
@@ -103,7 +105,7 @@
 
 impl<C: Clock> Gateway<C> {
     /// Lowest version of the weights that may serve the request; `None` for plain services.
-    fn required_version(&self, call: &Call, now: Instant) -> Option<u64> {
+    pub(super) fn required_version(&self, call: &Call, now: Instant) -> Option<u64> {
         if !call.has_engine() {
             return None;
         }
@@ -138,7 +140,7 @@
             key,
             address: entry.target.address,
             needs_grant: needs.min_version.is_some() && !entry.is_unresponsive(now),
-            limit: entry.limit,
+            limit: entry.eligibility.limit(),
             lifetime: entry.lifetime,
         })
     }
@@ -170,8 +172,8 @@
                     attempts = MAX_SLOT_REQUESTS - 1;
                     continue;
                 }
-                if let Some(wait) = self.pool.lock().limit_wait(&needs, now) {
-                    return Err(PlacementError::RateLimited(wait));
+                if let Some(pause) = self.pool.lock().pause(&needs, now) {
+                    return Err(pause.into());
                 }
                 let exists = attempts > 0 || self.pool.lock().can_serve(&needs, now);
                 return Err(if exists {
@@ -302,7 +304,7 @@
             return Err(SendError::MayHaveRun("answer to another request"));
         }
         if head.status != StatusCode::MISDIRECTED_REQUEST {
-            self.observe_limit(call, slot.key, &head, sent);
+            self.observe_head(call, &slot, &head, sent);
         }
         if head.status == StatusCode::MISDIRECTED_REQUEST || request::not_run(&head.headers) {
             return Err(SendError::NotRun("target declined"));
@@ -343,6 +345,10 @@
         let min_version = self.required_version(call, now);
         let pool = self.pool.lock();
         let entry = pool.get(key)?;
+        // The target may have said so while this request waited for a slot or a connection.
+        if entry.eligibility.is_unwanted(now) {
+            return None;
+        }
         let must_check = min_version.is_some_and(|v| v > 1) && !entry.has_agent(now);
         let weights = if must_check { entry.weights(now) } else { None };
         Some((entry.target.id.clone(), weights))
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -355,10 +355,12 @@
                 INTERRUPTED
             };
         }
+        let error = self.refusal_cause(call, trace, error);
         let outcome = match error {
             PlacementError::CrashesTargets => return CRASHES_TARGETS,
             PlacementError::Full => "no place",
             PlacementError::RateLimited(_) => "rate limited",
+            PlacementError::AskedToWait(_) => "asked to wait",
             PlacementError::NoTarget if trace.sends > 0 => "declined",
             PlacementError::NoTarget => NO_TARGET,
         };
@@ -373,6 +375,7 @@
         };
         let wait = match error {
             PlacementError::RateLimited(limit) => wait.max(limit),
+            PlacementError::AskedToWait(pause) => refusals.retry_after_pause(pause, left, draw),
             _ => wait,
         };
         Refusal {
