Look on when a second attempt is silent, too

- Two stopped targets of three: 5 of 9 requests got 504 after 7.98 s.
An attempt beside a silent one had no patience of its own.
All attempts are now raced together, and another one begins when the newest is silent too.
- A stopped target and one that answers 404: all three callers that met the stopped one got 504.
Before the caller has a part of the answer, any complete one below 500 wins now, and a failure that the first target answered is passed on if the others don't answer in time.

By reading, in the same functions: a send is counted when it is made, so that max_attempts holds while another attempt is connecting; a resumed attempt is silent since the caller's last bytes, not since the request came; a target that answers other requests is not asked last because one answer is late; the look waits at least for the longest timely pause.

Each part now counts as a sign of life.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::mem;
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::stream::{self, Stream};
@@ -85,7 +86,8 @@
                 address: source.response.slot.address,
                 since: self.gateway.clock.now(),
                 last_event: self.last_event,
-                can_move: self.last_event.is_some(),
+                can_move: self.last_event.is_some() && self.call.route().kind.is_retryable(),
+                has_begun: true,
                 end: self.call.end,
             };
             let read = source.read_or_report(&self.gateway, &self.call);
@@ -109,7 +111,7 @@
                 Err(RaceError::Failed(error)) => {
                     trace.lock().reason = error.reason();
                     self.source = None;
-                    if !self.resume().await {
+                    if !self.resume(silence.since).await {
                         return Some(self.give_up(handle::BROKEN_OFF));
                     }
                 }
@@ -139,15 +141,17 @@
         self.record.resumed += 1;
     }
 
-    /// Continues the stream at another target after the last complete event. Returns whether
-    /// that succeeded.
-    async fn resume(&mut self) -> bool {
+    /// Continues the stream, which the caller got its last part of at `since`, at another target
+    /// after the last complete event. Returns whether that succeeded.
+    async fn resume(&mut self, since: Instant) -> bool {
         let trace = &self.record.trace;
         trace.lock().may_have_run = true;
         if self.last_event.is_none() || !self.gateway.can_retry(&self.call, trace) {
             return false;
         }
-        let obtained = self.gateway.obtain(&self.call, trace, self.last_event);
+        let obtained = self
+            .gateway
+            .obtain(&self.call, trace, self.last_event, since);
         let Ok(answer) = obtained.await else {
             return false;
         };
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -287,7 +287,14 @@
         *message.method_mut() = call.method.clone();
         *message.uri_mut() = call.uri.clone();
         *message.headers_mut() = request::forward(&call.headers, &target_headers);
-        trace.lock().sends += 1;
+        {
+            // Another attempt may have been sent while this one was connecting.
+            let mut trace = trace.lock();
+            if trace.sends >= call.route().max_attempts.max(1) {
+                return Err(SendError::NotRun("attempts used up"));
+            }
+            trace.sends += 1;
+        }
         let sent = self.clock.now();
         let (head, body) = match connection.send(message).await {
             Ok(response) => response.into_parts(),
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -102,6 +102,8 @@
     pub reason: &'static str,
     /// Whether a target may have run the request.
     pub may_have_run: bool,
-    /// Whether an attempt beside a silent target has been sent and has not ended.
-    pub is_hedged: bool,
+    /// Attempts beside a silent target in progress.
+    pub hedged: u32,
+    /// When a part of a complete answer last arrived, unless that was looked at.
+    pub heard: Option<Instant>,
 }
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -317,7 +317,9 @@
         }
         self.retry_budget.lock().record_request(self.clock.now());
         let last_event = call.caller_headers.last_event;
-        let obtained = self.obtain(&call, &record.trace, last_event).await;
+        let obtained = self
+            .obtain(&call, &record.trace, last_event, call.start)
+            .await;
         let answer = match obtained {
             Ok(answer) => answer,
             Err(error) => {
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_util::future::{self, Either};
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::response;
 use log::info;
 use metrics::counter;
@@ -26,6 +26,9 @@
 
 /// Shortest time between two looks for another target.
 const MIN_PAUSE: Duration = Duration::from_millis(20);
+/// Objectives after which a target that was asked beside a silent one counts as silent, too: one
+/// for finding a place and one for the answer.
+const LOOK_OBJECTIVES: u32 = 2;
 
 /// First part of a target's answer that the caller can have.
 #[derive(Debug)]
@@ -119,18 +122,23 @@
     pub last_event: Option<u64>,
     /// Whether another target could go on where this one is.
     pub can_move: bool,
+    /// Whether the caller has a part of the answer.
+    pub has_begun: bool,
     /// When the caller does not wait any longer.
     pub end: Instant,
 }
 
 impl<C: Clock> Gateway<C> {
-    /// Sends a request, with retries, until a target has something for the caller.
+    /// Sends a request, with retries, until a target has something for the caller, which got its
+    /// last bytes or sent the request at `since`.
     pub(super) async fn obtain(
         self: &Arc<Self>,
         call: &Call,
         trace: &Mutex<Trace>,
         last_event: Option<u64>,
+        since: Instant,
     ) -> Result<Answer<C>, PlacementError> {
+        let has_begun = since != call.start;
         loop {
             let slot = self.acquire_slot(call, trace).await?;
             // Another gateway may have seen a target die while this request waited for a slot.
@@ -140,9 +148,10 @@
             let silence = Silence {
                 key: slot.key,
                 address: slot.address,
-                since: call.start,
+                since,
                 last_event,
-                can_move: true,
+                can_move: call.route().kind.is_retryable(),
+                has_begun,
                 end: call.deadline,
             };
             let attempt = self.attempt(call, slot, trace, last_event);
@@ -218,7 +227,8 @@
             return Ok(Answer::of_stream(head, source, events));
         }
         let is_failed = head.status.is_server_error();
-        let body = source::read_body(&mut response).await;
+        let on_part = || trace.lock().heard = Some(self.clock.now());
+        let body = source::read_body(&mut response, on_part).await;
         response.slot.record_result(!is_failed && body.is_ok());
         let bytes = body.map_err(|error| {
             if error == ReadError::Broke {
@@ -238,8 +248,8 @@
     }
 
     /// Waits for `first`, the target that was asked first. While it is silent for too long,
-    /// another target is looked for; the first of the two that has something for the caller
-    /// wins, and the other one is cancelled.
+    /// another target is looked for; the first one that has something for the caller wins, and
+    /// the others are cancelled.
     pub(super) async fn race<T, E>(
         self: &Arc<Self>,
         call: &Call,
@@ -248,84 +258,107 @@
         first: impl Future<Output = Result<T, E>>,
     ) -> Result<Winner<T, C>, RaceError<E>> {
         let mut first = pin!(first);
-        let now = self.clock.now();
-        let end = silence.end;
+        let asked = self.clock.now();
         let route = call.route();
-        // An attempt that has only just begun is not silent yet, however long the caller waits.
-        let look = patience::look_time(route, silence.since, end)
-            .map(|at| at.max(now + route.objective))
-            .filter(|at| *at < end);
-        let wait = look.unwrap_or(end).saturating_duration_since(now);
-        if let Ok(result) = time::timeout(wait, first.as_mut()).await {
-            return result.map(Winner::First).map_err(RaceError::Failed);
-        }
-        if look.is_none() {
-            return Err(RaceError::Late);
+        let mut since = silence.since;
+        loop {
+            // An attempt that has only just begun is not silent yet, however long the caller
+            // waits.
+            let look = patience::look_time(route, since, silence.end)
+                .map(|at| at.max(asked + route.objective))
+                .filter(|at| *at < silence.end);
+            let wait = look.unwrap_or(silence.end);
+            let wait = wait.saturating_duration_since(self.clock.now());
+            if let Ok(result) = time::timeout(wait, first.as_mut()).await {
+                return result.map(Winner::First).map_err(RaceError::Failed);
+            }
+            if look.is_none() {
+                return Err(RaceError::Late);
+            }
+            match trace.lock().heard.take() {
+                // Parts of a complete answer arrive.
+                Some(heard) if heard > since => since = heard,
+                _ => break,
+            }
         }
-        let mut guard = SilenceGuard::begin(self, silence.key, silence.since);
+        let mut guard = SilenceGuard::begin(self, silence.key, asked.max(since));
         self.log_silence(call, trace, silence);
-        let left = end.saturating_duration_since(self.clock.now());
-        let raced = async {
-            if silence.can_move && route.kind.is_retryable() {
-                self.race_silent(call, trace, silence, first).await
-            } else {
-                first.await.map(Winner::First)
+        let result = self.race_silent(call, trace, silence, first).await;
+        match &result {
+            Ok(Winner::Other(_)) => {
+                trace.lock().reason = "target silent";
+                guard.give_up();
             }
-        };
-        let Ok(result) = time::timeout(left, raced).await else {
-            guard.give_up();
-            return Err(RaceError::Late);
-        };
-        if let Ok(Winner::Other(_)) = result {
-            trace.lock().reason = "target silent";
-            guard.give_up();
+            Ok(Winner::First(_)) => trace.lock().target = silence.address.to_string(),
+            Err(RaceError::Late) => guard.give_up(),
+            Err(RaceError::Failed(_)) => {}
         }
-        result.map_err(RaceError::Failed)
+        result
     }
 
-    /// Looks for another target again and again while `first` is silent.
+    /// Looks for another target again and again while all that were asked are silent.
     async fn race_silent<T, E, F>(
         self: &Arc<Self>,
         call: &Call,
         trace: &Mutex<Trace>,
         silence: Silence,
         mut first: Pin<&mut F>,
-    ) -> Result<Winner<T, C>, E>
+    ) -> Result<Winner<T, C>, RaceError<E>>
     where
         F: Future<Output = Result<T, E>>,
     {
-        let mut pause = (call.route().objective / 2).max(MIN_PAUSE);
+        let objective = call.route().objective;
+        let mut pause = (objective / 2).max(MIN_PAUSE);
+        let mut others = FuturesUnordered::new();
+        let mut look = pin!(time::sleep(Duration::ZERO));
+        let left = silence.end.saturating_duration_since(self.clock.now());
+        let mut end = pin!(time::sleep(left));
+        let mut failure = None;
         loop {
-            let other = Box::pin(self.attempt_beside(call, trace, silence.last_event));
-            match future::select(first.as_mut(), other).await {
-                Either::Left((Ok(item), _)) => {
-                    trace.lock().target = silence.address.to_string();
-                    return Ok(Winner::First(item));
+            // The first target counts as asked until it fails.
+            if let Some(error) = failure.take() {
+                if trace.lock().hedged == 0 {
+                    return Err(RaceError::Failed(error));
                 }
-                Either::Left((Err(error), other)) => {
-                    let is_hedged = trace.lock().is_hedged;
-                    if is_hedged && let Some(answer) = other.await {
+                failure = Some(error);
+            }
+            tokio::select! {
+                biased;
+                result = first.as_mut(), if failure.is_none() => match result {
+                    Ok(item) => return Ok(Winner::First(item)),
+                    Err(error) => failure = Some(error),
+                },
+                Some(answer) = others.next() => {
+                    if let Some(answer) = answer {
                         return Ok(Winner::Other(Box::new(answer)));
                     }
-                    return Err(error);
+                    look.as_mut().reset(time::Instant::now() + pause);
+                    pause *= 2;
+                }
+                () = look.as_mut() => {
+                    // An attempt that gets no answer within its objective is silent, too.
+                    let wait = objective.max(MIN_PAUSE) * LOOK_OBJECTIVES;
+                    look.as_mut().reset(time::Instant::now() + wait);
+                    if silence.can_move {
+                        others.push(self.attempt_beside(call, trace, silence, wait));
+                    }
+                }
+                () = end.as_mut() => {
+                    return Err(failure.map_or(RaceError::Late, RaceError::Failed));
                 }
-                Either::Right((Some(answer), _)) => return Ok(Winner::Other(Box::new(answer))),
-                Either::Right((None, _)) => {}
-            }
-            if let Ok(result) = time::timeout(pause, first.as_mut()).await {
-                return result.map(Winner::First);
             }
-            pause *= 2;
         }
     }
 
-    /// Sends the request to another target beside a silent one. Returns `None` if it may not be
-    /// sent again, no other target has a place now, or that one has no answer either.
+    /// Sends the request to another target beside a silent one, which is silent itself after
+    /// `patience`. Returns `None` if it may not be sent again, no other target has a place now, or
+    /// that one has no answer either.
     async fn attempt_beside(
         self: &Arc<Self>,
         call: &Call,
         trace: &Mutex<Trace>,
-        last_event: Option<u64>,
+        silence: Silence,
+        patience: Duration,
     ) -> Option<Answer<C>> {
         if !self.may_hedge(call, trace) {
             return None;
@@ -334,14 +367,27 @@
             counter!("corianderramp_gateway_hedges_total", "result" => "no place").increment(1);
             return None;
         };
-        if !self.may_hedge(call, trace) || !self.retry_budget.lock().try_retry(self.clock.now()) {
+        let asked = self.clock.now();
+        if !self.may_hedge(call, trace) || !self.retry_budget.lock().try_retry(asked) {
             return None;
         }
         let _hedge = Hedge::begin(trace);
-        let result = self.attempt(call, slot, trace, last_event).await;
+        let key = slot.key;
+        let mut attempt = pin!(self.attempt(call, slot, trace, silence.last_event));
+        let result = if let Ok(result) = time::timeout(patience, attempt.as_mut()).await {
+            result
+        } else {
+            let _guard = SilenceGuard::begin(self, key, asked);
+            attempt.await
+        };
         let (result, name) = match result {
-            Ok(answer) if answer.head.status.is_success() => (Some(answer), "won"),
-            Ok(_) => (None, "failed"),
+            Ok(answer) if !silence.has_begun || answer.head.status.is_success() => {
+                (Some(answer), "won")
+            }
+            Ok(_) => {
+                trace.lock().may_have_run = true;
+                (None, "failed")
+            }
             Err(error) => {
                 record_send(error.reason());
                 record_error(trace, &error);
@@ -368,6 +414,11 @@
         let left = silence.end.saturating_duration_since(now);
         let mut trace = trace.lock();
         trace.silence = trace.silence.max(silent);
+        let message = if silence.can_move {
+            "target silent, looking for another one"
+        } else {
+            "target silent"
+        };
         info!(
             id = call.caller_headers.request_id.as_str(),
             target:% = silence.address,
@@ -375,18 +426,18 @@
             left = handle::millis(left),
             event = silence.last_event,
             sends = trace.sends;
-            "target silent, looking for another one"
+            "{message}"
         );
     }
 }
 
-/// Marks in the trace that a second attempt is in progress, until it is dropped.
+/// Counts an attempt beside a silent target in the trace, until it is dropped.
 struct Hedge<'a>(&'a Mutex<Trace>);
 
 impl<'a> Hedge<'a> {
     fn begin(trace: &'a Mutex<Trace>) -> Self {
         let mut locked = trace.lock();
-        locked.is_hedged = true;
+        locked.hedged += 1;
         locked.hedges += 1;
         drop(locked);
         Self(trace)
@@ -395,7 +446,7 @@
 
 impl Drop for Hedge<'_> {
     fn drop(&mut self) {
-        self.0.lock().is_hedged = false;
+        self.0.lock().hedged -= 1;
     }
 }
 
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 
 use crate::clock::Clock;
 use crate::gateway::Gateway;
@@ -118,17 +118,25 @@
     }
 }
 
-/// Reads the complete body of a response.
+/// Reads the complete body of a response, and calls `on_part` for each part that arrives.
 ///
 /// # Errors
 /// Fails when the body is interrupted or too large.
-pub async fn read_body<C: Clock>(response: &mut TargetResponse<C>) -> Result<Bytes, ReadError> {
-    match Limited::new(&mut response.body, MAX_BODY_BYTES)
-        .collect()
-        .await
-    {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<hyper::Error>() => Err(ReadError::Broke),
-        Err(_) => Err(ReadError::TooLong),
+pub async fn read_body<C: Clock>(
+    response: &mut TargetResponse<C>,
+    on_part: impl Fn(),
+) -> Result<Bytes, ReadError> {
+    let mut body = BytesMut::new();
+    while let Some(frame) = response.body.frame().await {
+        let frame = frame.map_err(|_| ReadError::Broke)?;
+        on_part();
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if body.len() + data.len() > MAX_BODY_BYTES {
+            return Err(ReadError::TooLong);
+        }
+        body.extend_from_slice(&data);
     }
+    Ok(body.freeze())
 }
--- a/src/place/eligibility.rs
+++ b/src/place/eligibility.rs
@@ -175,6 +175,8 @@
         if is_success {
             self.failures = 0;
             self.avoid_until = None;
+            // It answers others, so only one answer is late.
+            self.silent = 0;
         } else {
             self.failures += 1;
             let steps = self.failures.min(MAX_AVOID_STEPS);
--- a/src/place/patience.rs
+++ b/src/place/patience.rs
@@ -88,5 +88,6 @@
             .saturating_mul(LATE_OBJECTIVES)
             .min(left / 2),
     };
+    let wait = wait.max(route.max_pause);
     (left >= wait + route.objective).then(|| silent_since + wait)
 }
