Let the soak's targets pause and check every answer

The soak checked only whole answers and unsafe requests; a stream that was cut or an answer with status 502 or 504 passed. Now targets also pause (single answers, one process, all of a service), the configuration changes, and callers keep their connections until the process is gone. Each request that a gateway read, by its log, must get a whole answer or a refusal, unless the gateway was killed or reached its stop limit, a target broke the answer off, or the caller's time is over.

--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -201,7 +201,11 @@
             .await
             .map_err(|_| connection_reset())?
             .to_bytes();
+        let id = parts.headers.get("x-corianderramp-request-id").cloned();
+        let text = id.as_ref().and_then(|i| i.to_str().ok());
+        let text = text.unwrap_or_default().to_owned();
         if *self.is_away.borrow() {
+            self.pauses.record_broken(text);
             return Err(connection_reset());
         }
         let path = parts.uri.path().to_owned();
@@ -228,7 +232,6 @@
             }
             _ => {}
         }
-        let id = parts.headers.get("x-corianderramp-request-id").cloned();
         let last_event = parts.headers.get("last-event-id").cloned();
         let prompt = parts.headers.get("x-corianderramp-prompt-prefix").cloned();
         let expected = parts.headers.get("x-corianderramp-expect-instance");
@@ -245,9 +248,9 @@
             ran: behavior != Behavior::Decline,
             at: Instant::now(),
         });
-        let mut answer = self.pauses.begin(cut);
+        let mut answer = self.pauses.begin(text, cut);
         answer.before_head().await;
-        let mut response = match behavior {
+        let response = match behavior {
             Behavior::CrashOnPath(text) if path.contains(text) && path.ends_with("/partial") => {
                 let part = stream::once(async { Ok(Frame::data(Bytes::from_static(b"do"))) });
                 let target = self.clone();
@@ -256,16 +259,18 @@
                     target.crash();
                     Err(connection_reset())
                 });
-                Response::new(StreamBody::new(part.chain(broken).boxed()))
+                Ok(Response::new(StreamBody::new(part.chain(broken).boxed())))
             }
-            Behavior::CrashOnPath(text) => self.work(path.contains(text)).await?,
-            _ => self.respond(&behavior, last_event, prompt).await?,
+            Behavior::CrashOnPath(text) => self.work(path.contains(text)).await,
+            _ => self.respond(&behavior, last_event, prompt).await,
         };
+        let mut response = response.inspect_err(|_| answer.record_broken())?;
         let headers = response.headers_mut();
         if let Some(id) = id {
             headers.insert("x-corianderramp-request-id", id);
         }
         if behavior == Behavior::WrongRequestId {
+            answer.record_broken();
             headers.insert(
                 "x-corianderramp-request-id",
                 http::HeaderValue::from_static("other"),
--- a/standins/src/users/pause.rs
+++ b/standins/src/users/pause.rs
@@ -66,6 +66,8 @@
     answers: usize,
     paused: usize,
     active: usize,
+    /// Ids of requests whose answers the target broke off.
+    broken: Vec<String>,
 }
 
 /// Pauses of a target.
@@ -75,8 +77,8 @@
 }
 
 impl Pauses {
-    /// Begins an answer on the connection that `cut` cuts.
-    pub(super) fn begin(&self, cut: Option<Arc<Notify>>) -> Answer {
+    /// Begins the answer to the request `id` on the connection that `cut` cuts.
+    pub(super) fn begin(&self, id: String, cut: Option<Arc<Notify>>) -> Answer {
         let mut state = self.state.lock();
         state.active += 1;
         state.answers += 1;
@@ -85,10 +87,16 @@
             pauses: self.clone(),
             pause: state.pause.filter(|p| answers.is_multiple_of(p.every)),
             has_paused: false,
+            id,
             cut,
         }
     }
 
+    /// Records that the target breaks off the answer to the request `id`.
+    pub(super) fn record_broken(&self, id: String) {
+        self.state.lock().broken.push(id);
+    }
+
     /// Waits while the whole process is silent.
     pub(super) async fn wait_while_silent(&self) {
         while let Some(until) = self.silent_until() {
@@ -108,6 +116,7 @@
     pauses: Pauses,
     pause: Option<Pause>,
     has_paused: bool,
+    id: String,
     cut: Option<Arc<Notify>>,
 }
 
@@ -126,6 +135,11 @@
         }
     }
 
+    /// Records that the target, not its caller, spoils the answer.
+    pub(super) fn record_broken(&self) {
+        self.pauses.record_broken(self.id.clone());
+    }
+
     /// Adds the silence after the head to a response.
     pub(super) fn apply(self, response: HttpResponse) -> HttpResponse {
         response.map(|body| {
@@ -219,7 +233,10 @@
             }
             Ok(Ok(data)) => Ok(Frame::data(data)),
             Ok(Err(frame)) => Ok(frame),
-            Err(e) => Err(e),
+            Err(e) => {
+                self.answer.record_broken();
+                Err(e)
+            }
         })
     }
 
@@ -254,6 +271,12 @@
         self.pauses.state.lock().paused
     }
 
+    /// Ids of the requests whose answers the target broke off or gave a wrong id.
+    #[must_use]
+    pub fn broken(&self) -> Vec<String> {
+        self.pauses.state.lock().broken.clone()
+    }
+
     /// Number of answers in progress.
     #[must_use]
     pub fn active(&self) -> usize {
--- a/standins/tests/soak_platform.rs
+++ b/standins/tests/soak_platform.rs
@@ -1,9 +1,10 @@
 //! Randomized soak test of gateway and host processes on the simulated users' platform.
 //!
-//! While callers send requests, processes are stopped, killed, paused, reloaded and
-//! restarted, targets misbehave, crash and name rate limits, the store rejects calls of single
-//! VMs, never answers calls of one kind or comes back from an older copy, and versions are released; these faults overlap. The
-//! test checks the responses that callers receive and the requests that targets receive.
+//! While callers send requests on connections that they keep, processes are stopped, killed,
+//! paused, reloaded and restarted, targets misbehave, crash, pause and name rate limits, the
+//! store rejects calls of single VMs, never answers calls of one kind or comes back from an older
+//! copy, versions are released and the configuration changes; these faults overlap. The test
+//! checks the responses that callers receive and the requests that targets receive.
 //! `SOAK_SEEDS=1-16` selects the seeds, at most sixteen per run because each uses addresses of
 //! its own. `SOAK_SECONDS` sets how long faults are injected for each seed.
 
@@ -12,8 +13,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 use corianderramp::net;
 use corianderramp::node::settings::{Bounds, Listen, Role, Settings, Target as HostTarget};
@@ -26,9 +27,19 @@
 use serde_json::json;
 use standins::harness::process::Process;
 use standins::harness::{self, Subnet};
-use standins::users::{self, Behavior, Origin, Store, Target};
+use standins::users::{self, Behavior, Origin, Pause, Point, Silence, Store, Target};
 use tokio::time;
 
+use kept_calls::{Caller, PLAIN};
+use soak_check::{End, Run};
+
+#[path = "support/kept_calls.rs"]
+mod kept_calls;
+#[path = "support/soak_check.rs"]
+mod soak_check;
+#[path = "support/users_fleet.rs"]
+mod users_fleet;
+
 /// Seeds for CI, including those that failed before.
 const SEEDS: [u64; 1] = [1];
 /// Seconds of fault injection per seed in CI.
@@ -49,14 +60,10 @@
 const OBJECTS: usize = 1 + HOSTS.len() + DESKS.len();
 /// Numbers of the VMs with a gateway.
 const GATEWAYS: [u8; 2] = [20, 21];
-
-#[derive(Clone, Debug)]
-struct Completed {
-    id: String,
-    is_unsafe: bool,
-    status: Option<StatusCode>,
-    body: String,
-}
+/// Time from SIGTERM within which a process must exit.
+const STOP_TIME: Duration = Duration::from_secs(4);
+/// Time before that at which it leaves the requests that are still in progress.
+const STOP_MARGIN: Duration = Duration::from_millis(600);
 
 struct Node {
     vm: u8,
@@ -70,6 +77,9 @@
     desks: Vec<Target>,
     engines: Vec<Target>,
     folder: tempfile::TempDir,
+    /// Version of the newest configuration.
+    config: AtomicU64,
+    ends: Mutex<Vec<End>>,
 }
 
 impl Soak {
@@ -85,7 +95,7 @@
         }
         let mut desks = Vec::new();
         for vm in DESKS {
-            desks.push(start_target(net, &store, vm, "desk", Behavior::Respond("ok")).await);
+            desks.push(start_target(net, &store, vm, "desk", Behavior::Respond(PLAIN)).await);
         }
         Self {
             net,
@@ -93,6 +103,8 @@
             desks,
             engines,
             folder: tempfile::tempdir().unwrap(),
+            config: AtomicU64::new(1),
+            ends: Mutex::default(),
         }
     }
 
@@ -120,7 +132,7 @@
             target: (role == Role::Host).then_some(host_target),
             link_mbps: 100.0,
             bounds: Bounds {
-                stop_ms: 4_000,
+                stop_ms: STOP_TIME.as_millis().try_into().unwrap(),
                 weights_ms: 8_000,
                 config_ms: 2_000,
             },
@@ -137,14 +149,19 @@
     async fn inject_fault(&self, rng: &mut StdRng, nodes: &mut [Node], version: &mut u64) {
         let index = rng.random_range(0..nodes.len());
         let (role, vm) = (nodes[index].role, nodes[index].vm);
-        match rng.random_range(0..14) {
+        match rng.random_range(0..18) {
             0 => {
+                let told = Instant::now();
                 nodes[index].process.kill();
+                self.record_end(vm, true, told);
                 nodes[index] = self.start_node(role, vm);
             }
             1 => {
+                let told = Instant::now();
                 nodes[index].process.terminate();
-                nodes[index].process.ended(Duration::from_secs(5)).await;
+                let ended = nodes[index].process.ended(STOP_TIME * 2).await;
+                assert!(ended.is_some(), "VM {vm} did not stop");
+                self.record_end(vm, false, told);
                 nodes[index] = self.start_node(role, vm);
             }
             2 => {
@@ -194,6 +211,25 @@
             }
             11 => self.engines[rng.random_range(0..self.engines.len())].crash(),
             12 => self.restore_store(rng.random_range(1..6), *version).await,
+            13 => self.pause_answers(rng),
+            14 => {
+                let mut targets = self.desks.iter().chain(&self.engines);
+                let count = self.desks.len() + self.engines.len();
+                if let Some(target) = targets.nth(rng.random_range(0..count)) {
+                    target.fall_silent(pause_time(rng));
+                }
+            }
+            15 => {
+                let length = pause_time(rng);
+                let service = [&self.desks, &self.engines][rng.random_range(0..2)];
+                for target in service {
+                    target.fall_silent(length);
+                }
+            }
+            16 => {
+                self.config.fetch_add(1, Ordering::Relaxed);
+                self.put_config();
+            }
             _ => {
                 let last = rng.random_range(2..9);
                 let engine = rng.random_range(0..self.engines.len());
@@ -206,6 +242,49 @@
         }
     }
 
+    /// Lets a target that works fall silent in some answers.
+    fn pause_answers(&self, rng: &mut StdRng) {
+        let points = [
+            Point::Head,
+            Point::Start,
+            Point::Midway,
+            Point::Twice,
+            Point::Within,
+        ];
+        let pause = Pause {
+            every: rng.random_range(1..4),
+            point: points[rng.random_range(0..points.len())],
+            silence: Silence::For(pause_time(rng)),
+        };
+        let mut targets = self.desks.iter().chain(&self.engines);
+        let count = self.desks.len() + self.engines.len();
+        if let Some(target) = targets.nth(rng.random_range(0..count)) {
+            target.set_pause(Some(pause));
+        }
+    }
+
+    /// Writes the newest configuration to the store.
+    fn put_config(&self) {
+        let version = self.config.load(Ordering::Relaxed);
+        let origin = self.net.address(2, 8000);
+        let mut spec = users::config_spec(version, origin, CHUNKS);
+        spec["limits"]["max_body_bytes"] = json!(65_536 + version);
+        spec["limits"]["header_timeout_ms"] = json!(3_000 + version % 2 * 1_000);
+        spec["routes"][0]["priority"] = json!(version % 3);
+        self.store.put("config", "main", spec);
+    }
+
+    fn record_end(&self, vm: u8, was_killed: bool, told: Instant) {
+        let ended = Instant::now();
+        self.ends.lock().push(End {
+            gateway: vm,
+            was_killed,
+            hit_limit: ended.duration_since(told) + STOP_MARGIN >= STOP_TIME,
+            told,
+            ended,
+        });
+    }
+
     /// Lets the store go back by up to `lost` changes; then all is written again.
     async fn restore_store(&self, lost: usize, version: u64) {
         let written = self.store.revision();
@@ -220,6 +299,9 @@
             let spec = users::target_spec(service, address, loaded);
             self.store.put("servers", &format!("i-{vm}"), spec);
         }
+        if self.config.load(Ordering::Relaxed) > 1 {
+            self.put_config();
+        }
         if version > 1 {
             let spec = json!({"model": "m0", "version": version});
             self.store.put("versions", "m0", spec);
@@ -232,15 +314,23 @@
         self.store.answer_all();
         self.desks
             .iter()
-            .for_each(|d| d.set_behavior(Behavior::Respond("ok")));
+            .for_each(|d| d.set_behavior(Behavior::Respond(PLAIN)));
         self.engines
             .iter()
             .for_each(|e| e.set_behavior(Behavior::Stream(1, 10)));
         let targets = self.desks.iter().chain(&self.engines);
-        targets.for_each(|t| t.set_rate_limit(None));
+        for target in targets {
+            target.set_rate_limit(None);
+            target.set_pause(None);
+        }
     }
 }
 
+/// Length of a pause after which a caller still waits.
+fn pause_time(rng: &mut StdRng) -> Duration {
+    Duration::from_millis(rng.random_range(100..2_200))
+}
+
 /// Numbers of the VMs with a target, and its service.
 fn targets() -> impl Iterator<Item = (u8, &'static str)> {
     let engines = HOSTS.map(|vm| (vm, "llm"));
@@ -291,57 +381,6 @@
     response.await.ok()
 }
 
-async fn send(gateway: SocketAddr, id: String, is_unsafe: bool) -> Completed {
-    let path = if is_unsafe { "/book/x" } else { "/plan/x" };
-    let response = send_to(gateway, path, id.clone()).await;
-    Completed {
-        id,
-        is_unsafe,
-        status: response.as_ref().map(http::Response::status),
-        body: response
-            .map(|r| String::from_utf8_lossy(r.body()).into_owned())
-            .unwrap_or_default(),
-    }
-}
-
-fn events() -> String {
-    let event = |i| format!("id: {i}\ndata: token{i}\n\n");
-    (1..=10).map(event).collect::<Vec<_>>().concat()
-}
-
-/// Checks the responses against the requests that the targets ran.
-fn check(seed: u64, completed: &[Completed], desks: &[Target]) {
-    let received: Vec<_> = desks.iter().flat_map(Target::received).collect();
-    let runs = |id: &str| {
-        let same = received
-            .iter()
-            .filter(|r| r.ran && r.headers["x-corianderramp-request-id"] == id);
-        same.count()
-    };
-    for request in completed {
-        let Completed {
-            id, status, body, ..
-        } = request;
-        let served = *status == Some(StatusCode::OK);
-        if request.is_unsafe {
-            let runs = runs(id);
-            assert!(runs <= 1, "seed {seed}: {id} ran {runs} times");
-            let rejected = *status == Some(StatusCode::SERVICE_UNAVAILABLE);
-            assert!(
-                !rejected || runs == 0,
-                "seed {seed}: {id} was rejected but ran"
-            );
-            let is_answer = ["ok", "done"].contains(&body.as_str());
-            assert!(!served || is_answer, "seed {seed}: {id} got {body:?}");
-        } else {
-            assert!(
-                !served || *body == events(),
-                "seed {seed}: {id} got {body:?}"
-            );
-        }
-    }
-}
-
 async fn run(seed: u64, seconds: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     let soak = Arc::new(Soak::start(u8::try_from(seed % 16).unwrap()).await);
@@ -357,14 +396,15 @@
         let (soak, completed, stop) = (soak.clone(), completed.clone(), stop.clone());
         let mut rng = StdRng::seed_from_u64(seed * 1_000 + caller);
         callers.push(tokio::spawn(async move {
+            let mut kept = GATEWAYS.map(|g| Caller::new(soak.net.address(g, 8080)));
             for number in 0.. {
                 if stop.load(Ordering::Relaxed) {
                     return;
                 }
-                let gateway = GATEWAYS[rng.random_range(0..GATEWAYS.len())];
-                let address = soak.net.address(gateway, 8080);
+                let index = rng.random_range(0..GATEWAYS.len());
                 let id = format!("{seed}-{caller}-{number}");
-                let done = send(address, id, rng.random()).await;
+                let done =
+                    soak_check::send(&mut kept[index], GATEWAYS[index], id, rng.random()).await;
                 completed.lock().push(done);
                 time::sleep(Duration::from_millis(rng.random_range(1..30))).await;
             }
@@ -380,11 +420,11 @@
     let cleared = time::Instant::now();
     for gateway in GATEWAYS {
         for is_unsafe in [true, false] {
-            let address = soak.net.address(gateway, 8080);
+            let mut caller = Caller::new(soak.net.address(gateway, 8080));
             for number in 0.. {
                 let id = format!("{seed}-after-{gateway}-{is_unsafe}-{number}");
-                let done = send(address, id, is_unsafe).await;
-                let served = done.status == Some(StatusCode::OK);
+                let done = soak_check::send(&mut caller, gateway, id, is_unsafe).await;
+                let served = done.answer.status == Some(StatusCode::OK);
                 completed.lock().push(done);
                 if served {
                     break;
@@ -402,20 +442,32 @@
         caller.await.unwrap();
     }
     let completed = completed.lock().clone();
-    let served = completed
-        .iter()
-        .filter(|c| c.status == Some(StatusCode::OK));
     eprintln!(
-        "seed {seed}: {} requests, {} served, version {version}",
-        completed.len(),
-        served.count()
+        "seed {seed}: {} requests, version {version}",
+        completed.len()
     );
-    check(seed, &completed, &soak.desks);
+    // Ends the processes, so that their logs are complete.
+    for node in &nodes {
+        node.process.terminate();
+    }
+    for node in &mut nodes {
+        node.process.ended(STOP_TIME * 2).await;
+    }
+    let logs = GATEWAYS.map(|g| soak.folder.path().join(format!("{g}.log")));
+    let targets: Vec<Target> = soak.desks.iter().chain(&soak.engines).cloned().collect();
+    let run = Run {
+        seed,
+        completed: &completed,
+        ends: &soak.ends.lock(),
+        targets: &targets,
+        logs: &logs.each_ref().map(std::path::PathBuf::as_path),
+    };
+    run.check();
 }
 
 /// Guards against unsafe requests that run twice, rejected requests that ran, truncated
-/// responses or those of another request, and gateways that do not recover after
-/// overlapping faults.
+/// responses or those of another request, requests that a gateway read and neither answered nor
+/// refused, and gateways that do not recover after overlapping faults.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_while_processes_and_targets_fail() {
     let seconds = std::env::var("SOAK_SECONDS").ok();
--- a/standins/tests/support/kept_calls.rs
+++ b/standins/tests/support/kept_calls.rs
@@ -72,7 +72,10 @@
 /// What a caller got.
 #[derive(Clone, Debug)]
 pub struct Answer {
+    pub id: String,
     pub kind: Kind,
+    /// Whether there was a connection for the request.
+    pub was_sent: bool,
     /// Status; `None` if the connection ended before it.
     pub status: Option<StatusCode>,
     /// Whether the answer was complete and correct.
@@ -83,6 +86,10 @@
     pub gap: Duration,
     /// Events that the caller got.
     pub events: usize,
+    /// Body as far as it came, without comments.
+    pub body: String,
+    /// When the request was sent.
+    pub sent: Instant,
 }
 
 /// Caller that keeps its connection to a gateway.
@@ -117,21 +124,30 @@
 
     /// Sends a request and reads its answer for as long as its deadline allows.
     pub async fn send(&mut self, kind: Kind, deadline: Duration) -> Answer {
-        let (method, path) = kind.call();
         let id = format!("{:016x}", rand::rng().random::<u64>());
+        self.send_as(id, kind, deadline).await
+    }
+
+    /// Like [`Caller::send`] with the request id `id`.
+    pub async fn send_as(&mut self, id: String, kind: Kind, deadline: Duration) -> Answer {
+        let (method, path) = kind.call();
         let mut request = request(method, path, &id);
         let limit = deadline.as_millis().to_string().parse().unwrap();
         let headers = request.headers_mut();
         headers.insert("x-corianderramp-deadline-ms", limit);
+        let sent = Instant::now();
         let mut answer = Answer {
+            id,
             kind,
+            was_sent: false,
             status: None,
             is_whole: false,
             took: Duration::ZERO,
             gap: Duration::ZERO,
             events: 0,
+            body: String::new(),
+            sent,
         };
-        let sent = Instant::now();
         let exchange = self.exchange(request, &mut answer);
         let _ = time::timeout(deadline + GRACE, exchange).await;
         answer.took = sent.elapsed();
@@ -139,20 +155,20 @@
     }
 
     async fn exchange(&mut self, request: Request<Full<Bytes>>, answer: &mut Answer) -> Option<()> {
-        let sent = Instant::now();
         let mut sender = self.connection().await?;
+        answer.was_sent = true;
         let response = sender.send_request(request).await.ok()?;
         answer.status = Some(response.status());
-        read(response.into_body(), sent, answer).await?;
+        read(response.into_body(), answer).await?;
         self.sender = Some(sender);
         Some(())
     }
 }
 
 /// Reads a body to its end; `None` if it is cut.
-async fn read(mut body: Incoming, sent: Instant, answer: &mut Answer) -> Option<()> {
-    let mut last = sent;
-    let mut text = String::new();
+async fn read(mut body: Incoming, answer: &mut Answer) -> Option<()> {
+    let mut last = answer.sent;
+    let text = &mut answer.body;
     // Comments that came since the last event; they would fill the memory.
     let mut kept = 0;
     while let Some(frame) = body.frame().await {
@@ -170,7 +186,7 @@
             text.truncate(kept);
         }
     }
-    answer.is_whole = answer.status == Some(StatusCode::OK) && answer.kind.is_whole(&text);
+    answer.is_whole = answer.status == Some(StatusCode::OK) && answer.kind.is_whole(text);
     Some(())
 }
 
