--- a/standins/tests/support/soak_check.rs
+++ b/standins/tests/support/soak_check.rs
@@ -115,7 +115,7 @@
             }
             let reason = self.reason(request, read.contains(id.as_str()), broken.contains(id));
             let Some(reason) = reason else {
-                let lines = log.lines().filter(|l| l.contains(id.as_str()));
+                let lines = log.lines().filter(|l| read_id(l) == Some(id));
                 let lines: Vec<_> = lines.collect();
                 panic!(
                     "seed {}: {request:?}, ends {:?}, log {lines:#?}",
