Count what a target says only once it has sent it

The soak's check of leaving targets and of named waits took a target as heard when a request arrived there. Whether its answer had been sent was not recorded then.

The time of the answer's head is recorded, and the drain time and the named wait count from it; an answer that was sent is checked as strictly as before.

--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -68,6 +68,14 @@
 }
 
 impl Behavior {
+    /// Time that answers name as `retry-after`.
+    fn named_wait(&self) -> Option<&'static str> {
+        match self {
+            Self::DeclineFor(wait) => Some(wait),
+            _ => None,
+        }
+    }
+
     /// Whether a gateway gets the head of the answer and takes it for that of its request.
     fn has_readable_head(&self) -> bool {
         matches!(
@@ -92,6 +100,9 @@
     pub at: Instant,
     /// Whether its answer says that the target leaves.
     pub told_leaving: bool,
+    /// When the head of the answer was sent; `None` if it was not, as its caller had left or the
+    /// target fell silent or crashed before.
+    pub answered_at: Option<Instant>,
     /// Time that its answer names as `retry-after`.
     pub told_wait: Option<&'static str>,
 }
@@ -266,17 +277,15 @@
         let cut = parts.extensions.get::<Arc<Notify>>().cloned();
         let behavior = self.behavior.lock().clone();
         let is_leaving = self.is_leaving.load(Ordering::Relaxed);
-        self.received.lock().push(Received {
+        let number = self.record(Received {
             uri: parts.uri,
             headers: parts.headers,
             body: data,
             ran: !matches!(behavior, Behavior::Decline | Behavior::DeclineFor(_)),
             at: Instant::now(),
             told_leaving: is_leaving && behavior.has_readable_head(),
-            told_wait: match behavior {
-                Behavior::DeclineFor(wait) => Some(wait),
-                _ => None,
-            },
+            told_wait: behavior.named_wait(),
+            answered_at: None,
         });
         let mut answer = self.pauses.begin(text, cut);
         answer.before_head().await;
@@ -316,9 +325,17 @@
             "x-corianderramp-server-stamp",
             http::HeaderValue::from_str(&own_id).map_err(|_| connection_reset())?,
         );
+        self.received.lock()[number].answered_at = Some(Instant::now());
         Ok(answer.apply(response))
     }
 
+    /// Adds a request to those received and returns its number.
+    fn record(&self, request: Received) -> usize {
+        let mut received = self.received.lock();
+        received.push(request);
+        received.len() - 1
+    }
+
     async fn respond(
         &self,
         behavior: &Behavior,
--- a/standins/tests/support/soak_messages.rs
+++ b/standins/tests/support/soak_messages.rs
@@ -63,18 +63,21 @@
             })
             .collect();
         for (vm, told) in &arrivals {
+            let Some(told_at) = told.answered_at else {
+                continue;
+            };
             let later = |from: Instant| {
                 let same = arrivals.iter().filter(move |(v, r)| v == vm && r.at > from);
                 same.filter(|(_, r)| !self.are_between(*vm, told.at, r.at))
             };
             if told.told_leaving {
-                let late = later(told.at + DRAIN_TIME).count();
+                let late = later(told_at + DRAIN_TIME).count();
                 assert_eq!(late, 0, "seed {seed}: late at a target that left");
             }
             let wait = told.told_wait.and_then(|w| w.parse().ok());
             let wait = wait.and_then(|w| Duration::try_from_secs_f64(w).ok());
             if let Some(wait) = wait {
-                let early = later(told.at + IN_FLIGHT_TIME).filter(|(_, r)| r.at < told.at + wait);
+                let early = later(told_at + IN_FLIGHT_TIME).filter(|(_, r)| r.at < told_at + wait);
                 let early = early.count();
                 assert!(
                     early <= MAX_EARLY,
