--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::net::{self, Answer, Subnet};
-use crate::world::{self, DRAIN, GRACE, Process, Record, STABLE, Server, Servers, Store, Work};
+use crate::world::{self, DRAIN, GRACE, Origin, Process, Record, STABLE, Server, Servers, Store, Work};
 
 const GATEWAYS: [u8; 3] = [11, 12, 13];
 const LEDGERS: [u8; 3] = [21, 22, 23];
@@ -37,6 +37,8 @@
     store: Store,
     servers: Servers,
     ledgers: Vec<Server>,
+    engines: Vec<Server>,
+    origin: Origin,
     gateways: Vec<Process>,
     hosts: Vec<Process>,
     /// Addresses of the gateways for clients.
@@ -47,23 +49,29 @@
 
 impl Deployment {
     /// Starts everything and waits until the gateway serves and has been in touch for long enough.
-    fn start(folder: &Path, temporary: &Path, engine: Work) -> io::Result<Self> {
+    fn start(
+        folder: &Path,
+        temporary: &Path,
+        engine: Work,
+        deadly: Option<&'static str>,
+        spoilt: u64,
+    ) -> io::Result<Self> {
         let record = Record::create(&folder.join("record.txt"))?;
         let net = Subnet::free().ok_or_else(|| error("no free loopback addresses"))?;
         let store_address = net.address(1, 8007);
         let store = Store::start(store_address, &record)?;
-        let servers = Servers::new(&record);
+        let servers = Servers::new(&store, &record);
+        let origin = Origin::start(net.address(2, 9000), spoilt, &record)?;
         store.write("config", "main", Some(&world::config(net.address(2, 9000))));
         let mut ledgers = Vec::new();
         for vm in LEDGERS {
-            let ledger = servers.start(&format!("i-ledger{vm}"), net.address(vm, 9000), Work::Plain(WORK))?;
-            store.write("servers", &ledger.id, Some(&ledger.spec("pitch-ledger", "cb-a", "ready")));
-            ledgers.push(ledger);
+            let (id, address) = (format!("i-ledger{vm}"), net.address(vm, 9000));
+            ledgers.push(servers.start(&id, address, Work::Plain(WORK), None)?);
         }
-        let mut hosts = Vec::new();
+        let (mut engines, mut hosts) = (Vec::new(), Vec::new());
         for vm in ENGINES {
-            let server = servers.start(&format!("i-engine{vm}"), net.address(vm, 9000), engine)?;
-            store.write("servers", &server.id, Some(&server.spec("shake-llm", "cb-a", "ready")));
+            let (id, address) = (format!("i-engine{vm}"), net.address(vm, 9000));
+            engines.push(servers.start(&id, address, engine, deadly)?);
             let settings = world::settings(temporary, net, "host", vm, store_address)?;
             hosts.push(Process::start(&format!("host-{vm}"), &settings, &record)?);
         }
@@ -77,6 +85,8 @@
             store,
             servers,
             ledgers,
+            engines,
+            origin,
             gateways,
             hosts,
             callers: GATEWAYS.map(|vm| net.address(vm, 8005)).to_vec(),
@@ -165,48 +175,88 @@
 }
 
 fn plan_on(record: &Record, stream: &mut TcpStream, id: &str) -> Answer {
+    let session = format!("{:08x}", NEXT_ID.load(Ordering::Relaxed));
+    stream_on(record, stream, id, "/plan/round", &session)
+}
+
+fn stream_on(
+    record: &Record,
+    stream: &mut TcpStream,
+    id: &str,
+    path: &str,
+    session: &str,
+) -> Answer {
     let prompt = "x-corianderramp-model: m0\r\nx-corianderramp-token-count: 300,120\r\nx-corianderramp-prompt-prefix: 5c1e07a2:40,";
-    let more = format!("{prompt}{:08x}:260\r\ncontent-length: 4\r\n", NEXT_ID.load(Ordering::Relaxed));
-    record.add(&format!("client: {id} sent, POST /plan/"));
-    let text = head("POST", "/plan/round", id, 6_000, &more) + "plan";
+    let more = format!("{prompt}{session}:260\r\ncontent-length: 4\r\n");
+    record.add(&format!("client: {id} sent, POST {path}"));
+    let text = head("POST", path, id, 6_000, &more) + "plan";
     let answer = net::exchange(stream, &text, Duration::from_millis(6_000));
     log_answer(record, id, &answer);
     answer
 }
 
-/// Clients that send lookups until they are stopped, each on a kept channel.
+/// Clients that send requests until they are stopped.
 struct Clients {
     is_stopped: Arc<AtomicBool>,
-    threads: Vec<JoinHandle<()>>,
+    /// Threads that return how many requests they sent and how many were served.
+    threads: Vec<JoinHandle<(usize, usize)>>,
 }
 
 impl Clients {
+    /// Starts clients that send lookups, each on a kept channel.
     fn start(count: usize, pause: Duration, deployment: &Deployment) -> Self {
+        Self::run(count, pause, deployment, |record, callers, kept| {
+            let open = || TcpStream::connect_timeout(&callers, Duration::from_secs(1)).ok();
+            let Some(mut stream) = kept.take().or_else(open) else { return false };
+            let answer = check_on(record, &mut stream, "check");
+            if answer.is_complete {
+                *kept = Some(stream);
+            }
+            answer.is_complete && answer.status == 200
+        })
+    }
+
+    /// Sends requests with `send` from each client, with a pause before each.
+    fn run(
+        count: usize,
+        pause: Duration,
+        deployment: &Deployment,
+        send: fn(&Record, SocketAddr, &mut Option<TcpStream>) -> bool,
+    ) -> Self {
         let is_stopped = Arc::new(AtomicBool::new(false));
         let begin = |number: usize| {
             let (stop, record) = (is_stopped.clone(), deployment.record.clone());
             let callers = deployment.callers[number % deployment.callers.len()];
             thread::spawn(move || {
-                let mut kept: Option<TcpStream> = None;
+                let (mut sent, mut served, mut kept) = (0, 0, None);
                 while !stop.load(Ordering::SeqCst) {
                     thread::sleep(pause);
-                    let open = || TcpStream::connect_timeout(&callers, Duration::from_secs(1)).ok();
-                    let Some(mut stream) = kept.take().or_else(open) else { continue };
-                    if check_on(&record, &mut stream, "check").is_complete {
-                        kept = Some(stream);
-                    }
+                    sent += 1;
+                    served += usize::from(send(&record, callers, &mut kept));
                 }
+                (sent, served)
             })
         };
         let threads = (0..count).map(begin).collect();
         Self { is_stopped, threads }
     }
 
-    fn stop(self) {
+    /// Ends the clients; returns how many requests they sent and how many were served.
+    fn stop(self) -> (usize, usize) {
         self.is_stopped.store(true, Ordering::SeqCst);
-        for thread in self.threads {
-            let _ = thread.join();
-        }
+        let counts = self.threads.into_iter().filter_map(|t| t.join().ok());
+        counts.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
+    }
+}
+
+/// Clients that send requests for streams, each on a new channel.
+struct Plans;
+
+impl Plans {
+    fn start(count: usize, pause: Duration, deployment: &Deployment) -> Clients {
+        Clients::run(count, pause, deployment, |record, callers, _| {
+            plan(record, callers, "plan").is_some_and(|a| a.is_complete && a.status == 200)
+        })
     }
 }
 
@@ -240,7 +290,7 @@
 /// are back. The server serves on for `drain_ms` and 4 s.
 fn relays_killed(folder: &Path, temporary: &Path, has_trouble: bool) -> io::Result<bool> {
     let engine = Work::Engine(4, Duration::from_millis(20));
-    let mut deployment = Deployment::start(folder, temporary, engine)?;
+    let mut deployment = Deployment::start(folder, temporary, engine, None, 0)?;
     let clients = Clients::start(6, Duration::from_millis(100), &deployment);
     thread::sleep(Duration::from_secs(2));
     if has_trouble {
@@ -267,7 +317,7 @@
 /// later a server reports that it drains; it serves on for `drain_ms` and 4 s.
 fn unreadable_entry(folder: &Path, temporary: &Path, has_trouble: bool) -> io::Result<bool> {
     let engine = Work::Engine(4, Duration::from_millis(20));
-    let deployment = Deployment::start(folder, temporary, engine)?;
+    let deployment = Deployment::start(folder, temporary, engine, None, 0)?;
     let clients = Clients::start(6, Duration::from_millis(100), &deployment);
     thread::sleep(Duration::from_secs(2));
     if has_trouble {
@@ -290,7 +340,7 @@
 fn late_first_request(folder: &Path, temporary: &Path, has_trouble: bool) -> io::Result<bool> {
     // 20 events in 4.6 s, with pauses below the 300 ms that the route allows.
     let engine = Work::Engine(20, Duration::from_millis(230));
-    let mut deployment = Deployment::start(folder, temporary, engine)?;
+    let mut deployment = Deployment::start(folder, temporary, engine, None, 0)?;
     let record = deployment.record.clone();
     let terminated = Instant::now();
     if has_trouble {
@@ -345,12 +395,85 @@
     Ok(lost == 0)
 }
 
+/// One request comes again every second, with the same path, caller and body, at any gateway. Each
+/// engine that runs it crashes after the first events of its answer.
+fn deadly_request(folder: &Path, temporary: &Path, has_trouble: bool) -> io::Result<bool> {
+    let engine = Work::Engine(10, Duration::from_millis(30));
+    let deadly = has_trouble.then_some("deadly");
+    let deployment = Deployment::start(folder, temporary, engine, deadly, 0)?;
+    let record = deployment.record.clone();
+    let sound = Plans::start(3, Duration::from_millis(300), &deployment);
+    let begin = Instant::now();
+    let mut sent = Vec::new();
+    for second in 0..45 {
+        sleep_until(begin + Duration::from_secs(second));
+        let id = new_id("deadly");
+        sent.push(id.clone());
+        let callers = deployment.callers[second as usize % deployment.callers.len()];
+        let record = record.clone();
+        thread::spawn(move || {
+            let Ok(mut stream) = TcpStream::connect_timeout(&callers, Duration::from_secs(1)) else {
+                return;
+            };
+            stream_on(&record, &mut stream, &id, "/plan/deadly", "dead0001");
+        });
+    }
+    thread::sleep(Duration::from_secs(6));
+    sound.stop();
+    let crashes = deployment.servers.crashes.lock().unwrap().clone();
+    let arrivals = deployment.servers.arrivals.lock().unwrap().clone();
+    let retries = crashes.get(2).map_or(0, |third| {
+        let late = |id: &&String| {
+            let mut same = arrivals.iter().filter(|a| a.id == **id);
+            same.any(|a| a.at > *third + STABLE)
+        };
+        sent.iter().filter(late).count()
+    });
+    let text = format!(
+        "{} crashes; {retries} retries reached an engine later than {} ms after the third",
+        crashes.len(),
+        STABLE.as_millis()
+    );
+    record.add(&text);
+    println!("{text}");
+    Ok(retries <= 3)
+}
+
+/// New weights are named, and one answer of the origin, a manifest, has one wrong digit.
+fn spoilt_manifest(folder: &Path, temporary: &Path, has_trouble: bool) -> io::Result<bool> {
+    let engine = Work::Engine(4, Duration::from_millis(20));
+    let spoilt = u64::from(has_trouble);
+    let deployment = Deployment::start(folder, temporary, engine, None, spoilt)?;
+    let record = deployment.record.clone();
+    let begin = Instant::now();
+    let plans = Plans::start(3, Duration::from_millis(300), &deployment);
+    let checks = Clients::start(3, Duration::from_millis(300), &deployment);
+    thread::sleep(Duration::from_secs(1));
+    deployment.store.write("versions", "m0", Some(r#"{"model":"m0","version":2}"#));
+    sleep_until(begin + Duration::from_secs(90));
+    let (plan_sent, plan_served) = plans.stop();
+    let (check_sent, check_served) = checks.stop();
+    let share = |served: usize, sent: usize| served as f64 / sent.max(1) as f64;
+    let all = share(plan_served + check_served, plan_sent + check_sent);
+    let streams = share(plan_served, plan_sent);
+    let versions: Vec<u64> = deployment.engines.iter().map(Server::version).collect();
+    let text = format!(
+        "streams: {plan_served} of {plan_sent} served, {streams:.3}; all requests: {all:.3}; lookups: {check_served} of {check_sent}; versions of the engines {versions:?}; chunks sent by the origin: {}",
+        deployment.origin.chunks_sent.load(Ordering::SeqCst)
+    );
+    record.add(&text);
+    println!("{text}");
+    Ok(streams >= all / 4.0)
+}
+
 /// Plays a case; returns whether the rule held.
 pub fn run(case: &str, folder: &Path, temporary: &Path, has_trouble: bool) -> io::Result<bool> {
     match case {
         "relays-killed" => relays_killed(folder, temporary, has_trouble),
         "unreadable-entry" => unreadable_entry(folder, temporary, has_trouble),
         "late-first-request" => late_first_request(folder, temporary, has_trouble),
+        "deadly-request" => deadly_request(folder, temporary, has_trouble),
+        "spoilt-manifest" => spoilt_manifest(folder, temporary, has_trouble),
         _ => Err(error("no such case")),
     }
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 
 mod cases;
 mod net;
+mod sha256;
 mod world;
 
 use std::path::Path;
@@ -16,7 +17,7 @@
         return ExitCode::from(2);
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
-    world::watch(Duration::from_secs(105));
+    world::watch(Duration::from_secs(115));
     let (folder, temporary) = (Path::new(folder), Path::new(temporary));
     match cases::run(case, folder, temporary, has_trouble) {
         Ok(true) => {
--- a/review/standin/net.rs
+++ b/review/standin/net.rs
@@ -134,15 +134,17 @@
     stream: &mut TcpStream,
     status: u16,
     headers: &[(&str, &str)],
-    body: &str,
+    body: impl AsRef<[u8]>,
 ) -> io::Result<()> {
+    let body = body.as_ref();
     let mut text = format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n", body.len());
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
     }
     text += "\r\n";
-    text += body;
-    stream.write_all(text.as_bytes())
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    stream.write_all(&bytes)
 }
 
 /// Serves requests at `address` with a thread for each connection, until the process ends or
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::net::{self, Request, Subnet};
+use crate::sha256;
 
 /// Bounds of the small deployment, as the sheet of rosa-fleet gives them.
 pub const DRAIN: Duration = Duration::from_millis(2_000);
@@ -165,6 +166,9 @@
 #[derive(Clone)]
 pub struct Servers {
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+    /// Times of crashes.
+    pub crashes: Arc<Mutex<Vec<Instant>>>,
+    store: Store,
     record: Record,
 }
 
@@ -177,36 +181,93 @@
     Engine(u32, Duration),
 }
 
-/// One lifetime of a server.
+/// Number and size of the chunks of a version.
+pub const CHUNKS: usize = 64;
+pub const CHUNK_BYTES: usize = 32_768;
+/// Time for which an engine loads complete weights.
+const WARM: Duration = Duration::from_millis(300);
+
+/// Contents of a chunk.
+pub fn chunk(version: u64, index: usize) -> Vec<u8> {
+    let text = format!("chunk {index} of version {version}. ");
+    text.bytes().cycle().take(CHUNK_BYTES).collect()
+}
+
+/// What an engine holds. Staged chunks survive a crash.
+struct Weights {
+    /// Loaded version; 0 for none.
+    version: u64,
+    is_loading: bool,
+    orders: u64,
+    staged: Vec<Vec<u8>>,
+}
+
+/// A server, with its current lifetime.
 #[derive(Clone)]
 pub struct Server {
     pub id: String,
     pub address: SocketAddr,
     is_up: Arc<AtomicBool>,
     running: Arc<AtomicU64>,
-    born: u128,
+    /// Start of the lifetime, Unix milliseconds.
+    born: Arc<AtomicU64>,
+    weights: Arc<Mutex<Weights>>,
+    /// Channels that a crash breaks.
+    channels: Arc<Mutex<Vec<TcpStream>>>,
+    /// Part of the path of requests that crash it after some events of their answer.
+    deadly: Option<&'static str>,
     work: Work,
 }
 
-pub fn unix_millis() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis())
+/// Events of an answer after which a deadly request crashes an engine.
+pub const DEADLY_EVENTS: u32 = 4;
+/// Time for which a server is away after a crash.
+pub const AWAY: Duration = Duration::from_secs(2);
+
+fn unix_millis() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
 
 impl Server {
+    /// Fields of its entry and its report about what it holds.
+    fn held(&self) -> String {
+        match (self.work, self.weights.lock().unwrap().version) {
+            (Work::Plain(_), _) => String::new(),
+            (Work::Engine(..), 0) => r#","stage":"both","models":[],"layers":{"from":0,"to":0,"version":0}"#.to_owned(),
+            (Work::Engine(..), version) => format!(
+                r#","stage":"both","models":[{{"name":"m0","version":{version},"adapters":[]}}],"layers":{{"from":0,"to":16,"version":{version}}}"#
+            ),
+        }
+    }
+
     /// `spec` of its entry in the store.
     pub fn spec(&self, service: &str, zone: &str, state: &str) -> String {
-        let held = match self.work {
-            Work::Plain(_) => "",
-            Work::Engine(..) => {
-                r#","stage":"both","models":[{"name":"m0","version":1,"adapters":[]}],"layers":{"from":0,"to":16,"version":1}"#
-            }
+        format!(
+            r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":1,"slots":16,"state":"{state}","cold_remaining_ms":0,"sequence":1,"born":{}{}}}"#,
+            self.address,
+            self.born.load(Ordering::SeqCst),
+            self.held()
+        )
+    }
+
+    fn report(&self) -> String {
+        let (is_loading, orders) = {
+            let weights = self.weights.lock().unwrap();
+            (weights.is_loading, weights.orders)
         };
         format!(
-            r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":1,"slots":16,"state":"{state}","cold_remaining_ms":0,"sequence":1,"born":{}{held}}}"#,
-            self.address, self.born
+            r#"{{"busy":{is_loading},"sequence":{orders},"queued":0,"running":{},"kv_used":0,"kv_total":1640000,"handles":0,"pace":1.0,"born":{}{}}}"#,
+            self.running.load(Ordering::SeqCst),
+            self.born.load(Ordering::SeqCst),
+            self.held()
         )
     }
 
+    /// Version of the weights that an engine serves; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.weights.lock().unwrap().version
+    }
+
     /// Ends the server: it accepts and answers nothing more.
     pub fn exit(&self) {
         self.is_up.store(false, Ordering::SeqCst);
@@ -214,47 +275,160 @@
 }
 
 impl Servers {
-    pub fn new(record: &Record) -> Self {
+    pub fn new(store: &Store, record: &Record) -> Self {
         Self {
             arrivals: Arc::default(),
+            crashes: Arc::default(),
+            store: store.clone(),
             record: record.clone(),
         }
     }
 
-    pub fn start(&self, id: &str, address: SocketAddr, work: Work) -> io::Result<Server> {
+    /// Starts a server and registers it. Engines hold version 1.
+    pub fn start(
+        &self,
+        id: &str,
+        address: SocketAddr,
+        work: Work,
+        deadly: Option<&'static str>,
+    ) -> io::Result<Server> {
+        let weights = Weights {
+            version: 1,
+            is_loading: false,
+            orders: 0,
+            staged: (0..CHUNKS).map(|i| chunk(1, i)).collect(),
+        };
         let server = Server {
             id: id.to_owned(),
             address,
-            is_up: Arc::new(AtomicBool::new(true)),
+            is_up: Arc::default(),
             running: Arc::default(),
-            born: unix_millis(),
+            born: Arc::default(),
+            weights: Arc::new(Mutex::new(weights)),
+            channels: Arc::default(),
+            deadly,
             work,
         };
+        self.begin_lifetime(&server)?;
+        Ok(server)
+    }
+
+    /// Starts a server, or starts it again under its id.
+    fn begin_lifetime(&self, server: &Server) -> io::Result<()> {
+        server.is_up.store(true, Ordering::SeqCst);
+        server.born.store(unix_millis(), Ordering::SeqCst);
         let (served, all) = (server.clone(), self.clone());
         let is_up = server.is_up.clone();
         net::serve(
-            address,
+            server.address,
             move || is_up.load(Ordering::SeqCst),
             move |request, stream| all.handle(&served, request, stream),
         )?;
-        Ok(server)
+        self.register(server);
+        Ok(())
+    }
+
+    fn register(&self, server: &Server) {
+        let service = match server.work {
+            Work::Plain(_) => "pitch-ledger",
+            Work::Engine(..) => "shake-llm",
+        };
+        let spec = server.spec(service, "cb-a", "ready");
+        self.store.write("servers", &server.id, Some(&spec));
+    }
+
+    /// Ends a server at once, with all that it does; it is back later, without weights.
+    fn crash(&self, server: &Server) {
+        if !server.is_up.swap(false, Ordering::SeqCst) {
+            return;
+        }
+        self.record.add(&format!("{}: crashes", server.id));
+        self.crashes.lock().unwrap().push(Instant::now());
+        for channel in server.channels.lock().unwrap().drain(..) {
+            let _ = channel.shutdown(std::net::Shutdown::Both);
+        }
+        let (server, all) = (server.clone(), self.clone());
+        thread::spawn(move || {
+            thread::sleep(AWAY);
+            {
+                let mut weights = server.weights.lock().unwrap();
+                weights.version = 0;
+                weights.is_loading = false;
+                weights.orders = 0;
+            }
+            server.running.store(0, Ordering::SeqCst);
+            all.record.add(&format!("{}: is back", server.id));
+            if let Err(e) = all.begin_lifetime(&server) {
+                all.record.add(&format!("{}: can't start: {e}", server.id));
+            }
+        });
+    }
+
+    /// Handles an order to load the staged weights, as they are now.
+    fn order(&self, server: &Server, body: &[u8]) -> u16 {
+        let text = String::from_utf8_lossy(body);
+        let number = |name: &str| {
+            let rest = text.split(&format!("\"{name}\":")).nth(1)?;
+            let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+            digits.parse::<u64>().ok()
+        };
+        let Some(version) = number("version") else { return 400 };
+        let mut weights = server.weights.lock().unwrap();
+        if weights.is_loading || number("precondition").is_some_and(|p| p != weights.orders) {
+            return 409;
+        }
+        if weights.version == version {
+            return 200;
+        }
+        weights.orders += 1;
+        weights.is_loading = true;
+        let is_whole = (0..CHUNKS).all(|i| weights.staged[i] == chunk(version, i));
+        self.record.add(&format!("{}: loads version {version}, whole={is_whole}", server.id));
+        let (server, all) = (server.clone(), self.clone());
+        let born = server.born.load(Ordering::SeqCst);
+        thread::spawn(move || {
+            while server.running.load(Ordering::SeqCst) > 0 {
+                thread::sleep(Duration::from_millis(2));
+            }
+            thread::sleep(WARM);
+            if server.born.load(Ordering::SeqCst) != born || !server.is_up.load(Ordering::SeqCst) {
+                return;
+            }
+            {
+                let mut weights = server.weights.lock().unwrap();
+                weights.version = version;
+                weights.is_loading = false;
+            }
+            all.record.add(&format!("{}: serves version {version}", server.id));
+            all.register(&server);
+        });
+        202
     }
 
     fn handle(&self, server: &Server, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
         if !server.is_up.load(Ordering::SeqCst) {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
+        if let Ok(channel) = stream.try_clone() {
+            server.channels.lock().unwrap().push(channel);
+        }
         let json = [("content-type", "application/json")];
-        match request.path.as_str() {
-            "/report" => {
-                let running = server.running.load(Ordering::SeqCst);
-                let text = format!(
-                    r#"{{"stage":"both","models":[{{"name":"m0","version":1,"adapters":[]}}],"layers":{{"from":0,"to":16,"version":1}},"busy":false,"sequence":0,"queued":0,"running":{running},"kv_used":0,"kv_total":1640000,"handles":0,"pace":1.0,"born":{}}}"#,
-                    server.born
-                );
-                return net::respond(stream, 200, &json, &text);
+        let index = request.param("item_count").and_then(|i| i.parse::<usize>().ok());
+        match (request.path.as_str(), index) {
+            ("/report", _) => return net::respond(stream, 200, &json, server.report()),
+            ("/order", _) => {
+                let status = self.order(server, &request.body);
+                return net::respond(stream, status, &json, "");
             }
-            "/health" => {
+            (path, Some(index)) if path.starts_with("/stage-put/") && index < CHUNKS => {
+                server.weights.lock().unwrap().staged[index] = request.body.clone();
+                return net::respond(stream, 200, &[], "");
+            }
+            (path, Some(index)) if path.starts_with("/stage-get/") && index < CHUNKS => {
+                let staged = server.weights.lock().unwrap().staged[index].clone();
+                return net::respond(stream, 200, &[], staged);
+            }
+            ("/health", _) => {
                 let id = [("x-corianderramp-instance-id", server.id.as_str())];
                 return net::respond(stream, 200, &id, "");
             }
@@ -267,51 +441,77 @@
             let headers = [("x-corianderramp-request-id", id.as_str())];
             return net::respond(stream, 421, &headers, "");
         }
-        self.record.add(&format!("{}: {id} arrives and runs, {} {}", server.id, request.method, request.path));
+        if let Work::Engine(..) = server.work {
+            let weights = server.weights.lock().unwrap();
+            let wanted = request.header("x-corianderramp-expect-version");
+            let other = wanted.is_some_and(|w| w != weights.version.to_string());
+            if weights.version == 0 || weights.is_loading || other {
+                drop(weights);
+                self.record.add(&format!("{}: {id} rejected, loading or other version", server.id));
+                let headers = [
+                    ("x-corianderramp-request-id", id.as_str()),
+                    ("x-corianderramp-not-run", "1"),
+                ];
+                return net::respond(stream, if other { 421 } else { 503 }, &headers, "");
+            }
+            server.running.fetch_add(1, Ordering::SeqCst);
+        }
+        let text = format!("{}: {id} arrives and runs, {} {}", server.id, request.method, request.path);
+        self.record.add(&text);
         self.arrivals.lock().unwrap().push(Arrival {
             id: id.clone(),
             server: server.id.clone(),
             at: Instant::now(),
         });
-        let _ = &request.body;
         let stamp = format!("stamp.{}.{id}", server.id);
         let headers = [
             ("x-corianderramp-request-id", id.as_str()),
             ("x-corianderramp-server-stamp", stamp.as_str()),
         ];
-        server.running.fetch_add(1, Ordering::SeqCst);
         let result = match server.work {
             Work::Plain(time) => {
                 thread::sleep(time);
-                net::respond(stream, 200, &headers, &format!("done {id}"))
+                net::respond(stream, 200, &headers, format!("done {id}"))
             }
             Work::Engine(count, pause) => {
                 let after = request.header("last-event-id").and_then(|e| e.parse().ok());
-                stream_events(stream, &headers, after.unwrap_or(0), count, pause)
+                let after = after.unwrap_or(0);
+                let is_deadly = server.deadly.is_some_and(|d| request.path.contains(d));
+                let end = if is_deadly { after + DEADLY_EVENTS } else { count };
+                let version = server.version();
+                let result = stream_events(stream, &headers, version, (after, end, count), pause);
+                if is_deadly && result.is_ok() {
+                    self.crash(server);
+                    return Err(io::ErrorKind::ConnectionReset.into());
+                }
+                let subtract = |n: u64| Some(n.saturating_sub(1));
+                let _ = server.running.fetch_update(Ordering::SeqCst, Ordering::SeqCst, subtract);
+                result
             }
         };
-        server.running.fetch_sub(1, Ordering::SeqCst);
         let end = if result.is_ok() { "ends well" } else { "is cut off by its caller" };
         self.record.add(&format!("{}: the run of {id} {end}", server.id));
         result
     }
 }
 
+/// Sends the events after the first number up to the second of so many as the third, and ends the
+/// stream after the last one of all.
 fn stream_events(
     stream: &mut TcpStream,
     headers: &[(&str, &str)],
-    after: u32,
-    count: u32,
+    version: u64,
+    (after, end, count): (u32, u32, u32),
     pause: Duration,
 ) -> io::Result<()> {
-    let mut head = String::from(
-        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\nx-corianderramp-weight-versions: 1\r\n",
+    let mut head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\nx-corianderramp-weight-versions: {version}\r\n",
     );
     for (name, value) in headers {
         head += &format!("{name}: {value}\r\n");
     }
     head += "\r\n";
-    for i in after + 1..=count {
+    for i in after + 1..=end.min(count) {
         thread::sleep(pause);
         let event = format!("id: {i}\ndata: piece {i} of {count}\n\n");
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
@@ -319,7 +519,60 @@
         head.clear();
         stream.write_all(chunk.as_bytes())?;
     }
-    stream.write_all(b"0\r\n\r\n")
+    if end < count { Ok(()) } else { stream.write_all(b"0\r\n\r\n") }
+}
+
+/// The origin of weights.
+#[derive(Clone)]
+pub struct Origin {
+    /// Manifests still to be spoilt.
+    pub spoilt: Arc<AtomicU64>,
+    pub chunks_sent: Arc<AtomicU64>,
+    link: Arc<Mutex<()>>,
+    record: Record,
+}
+
+impl Origin {
+    /// Starts an origin. It spoils one digit of a digest in so many answers to requests for the
+    /// manifest of version 2.
+    pub fn start(address: SocketAddr, spoilt: u64, record: &Record) -> io::Result<Self> {
+        let origin = Self {
+            spoilt: Arc::new(AtomicU64::new(spoilt)),
+            chunks_sent: Arc::default(),
+            link: Arc::default(),
+            record: record.clone(),
+        };
+        let served = origin.clone();
+        net::serve(address, || true, move |request, stream| served.handle(request, stream))?;
+        Ok(origin)
+    }
+
+    fn handle(&self, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
+        let version = request.param("version").and_then(|v| v.parse().ok()).unwrap_or(1);
+        if request.path.starts_with("/manifest/") {
+            let mut digests: Vec<String> =
+                (0..CHUNKS).map(|i| sha256::hex(&chunk(version, i))).collect();
+            let subtract = |n: u64| n.checked_sub(1);
+            let is_spoilt = version == 2
+                && self.spoilt.fetch_update(Ordering::SeqCst, Ordering::SeqCst, subtract).is_ok();
+            if is_spoilt {
+                let other = if digests[5].starts_with('0') { "1" } else { "0" };
+                digests[5].replace_range(0..1, other);
+            }
+            self.record.add(&format!("origin: manifest of version {version}, spoilt={is_spoilt}"));
+            let body = format!(
+                r#"{{"model":"m0","version":{version},"chunk_bytes":{CHUNK_BYTES},"layers":16,"digests":["{}"]}}"#,
+                digests.join("\",\"")
+            );
+            return net::respond(stream, 200, &[("content-type", "application/json")], body);
+        }
+        let index = request.param("item_count").and_then(|i| i.parse().ok()).unwrap_or(0);
+        // 9.9 Mbit/s for all together.
+        let _link = self.link.lock().unwrap();
+        thread::sleep(Duration::from_micros(CHUNK_BYTES as u64 * 8 * 10 / 99));
+        self.chunks_sent.fetch_add(1, Ordering::SeqCst);
+        net::respond(stream, 200, &[], chunk(version, index))
+    }
 }
 
 /// Configuration like that of a small deployment; the origin is never asked.
@@ -336,7 +589,7 @@
         route("pitch-check", "/check/", "safe", "pitch-ledger", 800, 100, 2),
     ];
     format!(
-        r#"{{"version":4,"routes":[{}],"services":[{{"name":"shake-llm","max_connections":780,"health_path":"/health","engine":{{"slots":16,"step_ms":6.73,"per_seq_ms":0.0219,"context_per_k":0.0068,"read_per_s":30600,"pairs_per_m":0.647,"chunk":2048,"stride":1,"usual":{{"prompt":1000,"answer":120}},"layers":16,"layer_mb":1,"chunks":64,"chunk_bytes":32768,"report_lag_ms":100,"models":[{{"name":"m0","warm_s":0.3}}]}}}},{{"name":"pitch-ledger","max_connections":214,"health_path":"/health"}},{{"name":"depot-admin","max_connections":103,"origin":"{origin}","link_mbps":9.9}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"rounds","api_keys":["key-1"],"priority":1}}]}}"#,
+        r#"{{"version":4,"routes":[{}],"services":[{{"name":"shake-llm","max_connections":780,"health_path":"/health","engine":{{"slots":16,"step_ms":6.73,"per_seq_ms":0.0219,"context_per_k":0.0068,"read_per_s":30600,"pairs_per_m":0.647,"chunk":2048,"stride":1,"usual":{{"prompt":1000,"answer":120}},"layers":16,"layer_mb":1,"chunks":{CHUNKS},"chunk_bytes":{CHUNK_BYTES},"report_lag_ms":100,"models":[{{"name":"m0","warm_s":0.3}}]}}}},{{"name":"pitch-ledger","max_connections":214,"health_path":"/health"}},{{"name":"depot-admin","max_connections":103,"origin":"{origin}","link_mbps":9.9}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"rounds","api_keys":["key-1"],"priority":1}}]}}"#,
         routes.join(",")
     )
 }
