--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -9,7 +9,7 @@
   exit 2
 fi
 temporary=$(mktemp -d) || exit 2
-# The stand-in starts the processes, and ends them after 105 s at most.
+# The stand-in starts the processes, and ends them after 115 s at most.
 target/review/standin late-first-request "$folder" "$temporary"
 status=$?
 rm -rf "$temporary"
