--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -10,7 +10,7 @@
 fi
 temporary=$(mktemp -d) || exit 2
 # The stand-in starts the processes, and ends them after 115 s at most.
-target/review/standin spoilt-manifest "$folder" "$temporary"
+target/review/standin deadly-request "$folder" "$temporary"
 status=$?
 rm -rf "$temporary"
 [ "$status" -le 1 ] || status=2
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -21,6 +21,8 @@
 /// Time from a SIGTERM until that client sends its first request, within the 3 s of
 /// `header_timeout_ms`.
 const SENT: Duration = Duration::from_millis(3_200);
+/// Time for which a VM is frozen.
+const FROZEN: Duration = Duration::from_millis(4_000);
 /// Time from the kill of a process until the platform starts it again.
 const RESTART: Duration = Duration::from_millis(250);
 /// Time for a warm-up on a busy machine.
@@ -466,6 +468,50 @@
     Ok(streams >= all / 4.0)
 }
 
+/// A host's VM freezes for 4 s after the host has read back what it staged, and meanwhile a staged
+/// chunk turns bad. The host then orders the load.
+fn frozen_host(folder: &Path, temporary: &Path, has_trouble: bool) -> io::Result<bool> {
+    let engine = Work::Engine(4, Duration::from_millis(20));
+    let mut deployment = Deployment::start(folder, temporary, engine, None, 0)?;
+    let record = deployment.record.clone();
+    let plans = Plans::start(6, Duration::from_millis(200), &deployment);
+    let server = deployment.engines[0].clone();
+    let verified = server.watch_verification();
+    deployment.store.write("versions", "m0", Some(r#"{"model":"m0","version":2}"#));
+    let limit = Duration::from_secs(20);
+    verified.recv_timeout(limit).map_err(|_| error("version 2 was never staged"))?;
+    if has_trouble {
+        deployment.hosts[0].signal("STOP")?;
+        let frozen = Instant::now();
+        sleep_until(frozen + Duration::from_millis(200));
+        server.spoil(0);
+        record.add(&format!("{}: chunk 0 of what is staged turns bad", server.id));
+        sleep_until(frozen + FROZEN);
+        deployment.hosts[0].signal("CONT")?;
+    }
+    let end = Instant::now() + limit;
+    while server.version() != 2 {
+        if Instant::now() > end {
+            return Err(error("version 2 was never loaded"));
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    let loaded = Instant::now();
+    thread::sleep(Duration::from_secs(6));
+    plans.stop();
+    let arrivals = deployment.servers.arrivals.lock().unwrap().clone();
+    let made = arrivals.iter().filter(|a| a.server == server.id && a.at > loaded).count();
+    let rotten = server.loaded_rotten();
+    let text = format!(
+        "{} loaded version 2 with a chunk that had turned bad {} ms before; {made} streams were made with it",
+        server.id,
+        rotten.map_or("never".to_owned(), |r| r.as_millis().to_string())
+    );
+    record.add(&text);
+    println!("{text}");
+    Ok(rotten.is_none_or(|r| r <= Duration::from_secs(3)) || made == 0)
+}
+
 /// Plays a case; returns whether the rule held.
 pub fn run(case: &str, folder: &Path, temporary: &Path, has_trouble: bool) -> io::Result<bool> {
     match case {
@@ -473,6 +519,7 @@
         "unreadable-entry" => unreadable_entry(folder, temporary, has_trouble),
         "late-first-request" => late_first_request(folder, temporary, has_trouble),
         "deadly-request" => deadly_request(folder, temporary, has_trouble),
+        "frozen-host" => frozen_host(folder, temporary, has_trouble),
         "spoilt-manifest" => spoilt_manifest(folder, temporary, has_trouble),
         _ => Err(error("no such case")),
     }
