Send no changes of targets across a list

Cause: a relay that has just started knows of no removals before its own list, but removals_floor stayed 0, so it answered a follower of an older revision with changes that lack the removals in between. The log line that told it from a lost datagram or a late list: 'targets received whole=false' with a count too high by one, right after the relay's restart. The same gap opens whenever a relay lists again after an outage: a target that came and went meanwhile is unknown to it, and followers that know it keep it.

A list now records the revisions that it skipped. Followers from before the first list, or from within a gap, get the whole list; those that the relay knew completely still get changes. Ruled out: the floor at the newest list for all followers, which would send whole lists to everyone after each outage.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -5,6 +5,7 @@
 //! newest configuration and releases by their versions, targets that left as left, and for a
 //! while those that have not registered again.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -73,6 +74,9 @@
     pub removals: Vec<Removal>,
     /// Store revision up to which removals may be missing from `removals`.
     pub removals_floor: u64,
+    /// Store revisions between the last list and what was known before it. Targets that were added
+    /// and removed within are unknown.
+    pub skipped: Range<u64>,
     /// Registrations in the copy from which the store came back of targets that had left or
     /// restarted, sorted by name.
     pub outdated: Vec<Entry<Target>>,
@@ -200,6 +204,7 @@
             list.extend(kept);
             list.sort_by(|a, b| a.name.cmp(&b.name));
         }
+        self.skip_to(revision);
         self.targets_revision = revision;
         if self.targets == list {
             return false;
@@ -230,10 +235,29 @@
         true
     }
 
-    /// Changes of targets after `revision`; `None` if the removals don't reach back to it.
+    /// Records that a list of `revision` follows on what is known, without the changes between.
+    fn skip_to(&mut self, revision: u64) {
+        let known = self.targets_revision;
+        if revision <= known {
+            return;
+        }
+        self.removals_floor = if known == 0 {
+            revision
+        } else {
+            self.removals_floor.max(self.skipped.end)
+        };
+        self.skipped = known + 1..revision;
+    }
+
+    /// Changes of targets after `revision`; `None` if some of the removals since then may be
+    /// unknown.
     #[must_use]
     pub fn target_changes(&self, revision: u64) -> Option<TargetChanges> {
-        if revision == 0 || revision < self.removals_floor || self.is_other_era(revision) {
+        let is_unknown = revision == 0
+            || revision < self.removals_floor
+            || self.skipped.contains(&revision)
+            || self.is_other_era(revision);
+        if is_unknown {
             return None;
         }
         let changed = self.targets.iter().filter(|t| t.revision > revision);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -84,6 +84,41 @@
     assert!(relay.target_changes(0).is_none());
 }
 
+/// A relay that has just started knows of no removals before its list. It sent the changes since a
+/// follower's older revision without them, and the follower kept targets that were gone.
+#[test]
+fn restarted_relay_sends_no_changes_across_its_first_list() {
+    let names = ["i-1", "i-2"];
+    let list = names.map(|n| entry(n, 10, target(n, 1)));
+    let mut follower = Catalog::default();
+    follower.replace_targets(10, list.to_vec());
+    let mut relay = Catalog::default();
+    relay.hint_targets(list.to_vec());
+    relay.replace_targets(20, list[..1].to_vec());
+
+    assert!(relay.target_changes(10).is_none());
+    assert!(relay.target_changes(20).is_some());
+    follower.replace_targets(20, relay.targets.clone());
+    assert_eq!(follower.targets, relay.targets);
+}
+
+/// A relay that lists again after an outage never learned of a target that came and went
+/// meanwhile. Only followers that may know such a target need the whole list.
+#[test]
+fn relay_that_lists_again_sends_no_changes_from_within_the_outage() {
+    let first = entry("i-1", 10, target("i-1", 1));
+    let mut relay = Catalog::default();
+    relay.replace_targets(10, vec![first.clone()]);
+    relay.replace_targets(20, vec![first.clone()]);
+
+    assert!(relay.target_changes(15).is_none());
+    assert!(relay.target_changes(10).is_some());
+    relay.replace_targets(30, vec![first]);
+    assert!(relay.target_changes(10).is_none());
+    assert!(relay.target_changes(20).is_some());
+    assert!(relay.target_changes(25).is_none());
+}
+
 /// Hints of unknown age must not count as the state of any revision, nor replace it.
 #[test]
 fn hinted_targets_give_way_to_a_complete_list() {
