Let stand-ins crash midway, delay reads and send unreadable entries

A target records how long the chunks that it loads were neither stored nor read, the store sends entries that can't be read and records who lists, the origin spoils a manifest.

--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -19,7 +19,7 @@
 pub use origin::{Origin, chunk_data};
 pub use pause::{Pause, Point, Silence};
 pub use spec::{config_spec, target_spec};
-pub use store::Store;
+pub use store::{Store, UNREADABLE};
 
 use self::server::{
     Error, HttpResponse, body, connection_reset, full_response, query, serve_while_up,
@@ -59,6 +59,8 @@
     /// Streams all events, but crashes when it begins to answer a request whose prompt has
     /// this part. The connections to it then break, and it is back after [`RESTART_TIME`].
     CrashOn(&'static str),
+    /// Like [`Self::CrashOn`], but the crash comes after this number of events.
+    CrashMidway(&'static str, u64),
     /// Works for [`WORK_TIME`] and then responds with status 200, or crashes if the request's
     /// path contains this text: within its answer if the path ends with `/partial`. A crash
     /// breaks all requests in progress.
@@ -113,6 +115,12 @@
     version: u64,
     orders: u64,
     staged: Vec<Option<Bytes>>,
+    /// When each staged chunk was last stored or its last read was answered.
+    seen: Vec<Instant>,
+    /// Number of staged chunks that were read.
+    reads: u64,
+    /// For each accepted order, the longest time since a chunk was stored or read.
+    unseen: Vec<Duration>,
     crashes: u64,
 }
 
@@ -129,6 +137,8 @@
     behavior: Arc<Mutex<Behavior>>,
     received: Arc<Mutex<Vec<Received>>>,
     engine: Arc<Mutex<Engine>>,
+    /// Time that the target takes to answer the read of a staged chunk.
+    read_delay: Arc<Mutex<Duration>>,
     pauses: pause::Pauses,
     /// Whether the target has crashed and is not back yet.
     is_away: watch::Sender<bool>,
@@ -154,6 +164,7 @@
             behavior: Arc::new(Mutex::new(behavior)),
             received: Arc::default(),
             engine: Arc::new(Mutex::new(engine)),
+            read_delay: Arc::default(),
             pauses: pause::Pauses::default(),
             is_away: watch::Sender::new(false),
         };
@@ -229,6 +240,33 @@
         self.engine.lock().staged.clone()
     }
 
+    /// Sets how long the target takes to answer the read of a staged chunk.
+    pub fn set_read_delay(&self, delay: Duration) {
+        *self.read_delay.lock() = delay;
+    }
+
+    /// Number of reads of staged chunks so far.
+    #[must_use]
+    pub fn staged_reads(&self) -> u64 {
+        self.engine.lock().reads
+    }
+
+    /// For each accepted load order, the longest time for which a chunk had been neither stored
+    /// nor read: if it turned bad meanwhile, the host could not know.
+    #[must_use]
+    pub fn unseen_times(&self) -> Vec<Duration> {
+        self.engine.lock().unseen.clone()
+    }
+
+    fn read_staged(&self, index: usize) -> Option<Bytes> {
+        let mut engine = self.engine.lock();
+        engine.reads += 1;
+        if let Some(seen) = engine.seen.get_mut(index) {
+            *seen = Instant::now();
+        }
+        engine.staged.get(index).cloned().flatten()
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Result<HttpResponse, Error> {
         let (parts, incoming) = request.into_parts();
         let data = incoming
@@ -256,10 +294,14 @@
                 let size = engine.staged.len().max(index + 1);
                 engine.staged.resize(size, None);
                 engine.staged[index] = Some(data);
+                engine.seen.resize(size, Instant::now());
+                engine.seen[index] = Instant::now();
                 return Ok(full_response(StatusCode::OK, ""));
             }
             (p, Some(index)) if p.starts_with("/stage-get/") => {
-                let chunk = self.engine.lock().staged.get(index).cloned().flatten();
+                let chunk = self.read_staged(index);
+                let delay = *self.read_delay.lock();
+                time::sleep(delay).await;
                 let status = chunk
                     .as_ref()
                     .map_or(StatusCode::NOT_FOUND, |_| StatusCode::OK);
@@ -344,14 +386,28 @@
     ) -> Result<HttpResponse, Error> {
         match behavior {
             Behavior::CrashOn(part) => {
-                let prompt = prompt.as_ref().and_then(|p| p.to_str().ok());
-                let mut parts = prompt.unwrap_or_default().split(',');
-                if parts.any(|p| p.split(':').next() == Some(*part)) {
+                if has_part(prompt.as_ref(), part) {
                     self.crash();
                     return Ok(Response::new(body(vec![Err(connection_reset())])));
                 }
                 Ok(Response::new(self.paced_events(1..=10)))
             }
+            Behavior::CrashMidway(part, events) => {
+                if !has_part(prompt.as_ref(), part) {
+                    return Ok(Response::new(self.paced_events(1..=10)));
+                }
+                let last_event = last_event.and_then(|e| e.to_str().ok()?.parse::<u64>().ok());
+                let start = last_event.unwrap_or(0) + 1;
+                let target = self.clone();
+                let crash = stream::once(async move {
+                    time::sleep(WORK_TIME).await;
+                    target.crash();
+                    Err(connection_reset())
+                });
+                let events = self.paced_events(start..=start + events - 1);
+                let frames = events.chain(crash);
+                Ok(Response::new(StreamBody::new(frames.boxed())))
+            }
             Behavior::CrashOnPath(_) => self.work(false).await,
             Behavior::Respond(text) => Ok(full_response(StatusCode::OK, *text)),
             Behavior::WrongRequestId => Ok(full_response(StatusCode::OK, "for somebody else")),
@@ -459,11 +515,19 @@
             return full_response(StatusCode::CONFLICT, "");
         }
         engine.orders += 1;
+        let longest = engine.seen.iter().map(Instant::elapsed).max();
+        engine.unseen.push(longest.unwrap_or_default());
         engine.version = order["version"].as_u64().unwrap_or(0);
         full_response(StatusCode::ACCEPTED, "")
     }
 }
 
+/// Whether a prompt has a part with this id.
+fn has_part(prompt: Option<&http::HeaderValue>, id: &str) -> bool {
+    let prompt = prompt.and_then(|p| p.to_str().ok()).unwrap_or_default();
+    { prompt.split(',') }.any(|p| p.split(':').next() == Some(id))
+}
+
 /// Whether a request is one of the host beside the target.
 fn is_internal(path: &str) -> bool {
     ["/report", "/order"].contains(&path) || path.starts_with("/stage-")
--- a/standins/src/users/origin.rs
+++ b/standins/src/users/origin.rs
@@ -25,6 +25,8 @@
 pub struct Origin {
     sent: Arc<Mutex<Vec<(u64, usize)>>>,
     is_failing: Arc<AtomicBool>,
+    /// Chunk whose digest is wrong in the next manifest that is sent.
+    spoilt: Arc<Mutex<Option<usize>>>,
 }
 
 impl Origin {
@@ -45,6 +47,11 @@
         self.is_failing.store(is_failing, Ordering::Relaxed);
     }
 
+    /// Makes one digit of the digest of chunk `index` wrong in the next manifest that is sent.
+    pub fn spoil_manifest(&self, index: usize) {
+        *self.spoilt.lock() = Some(index);
+    }
+
     /// Version and index of each chunk sent, in order.
     #[must_use]
     pub fn sent_chunks(&self) -> Vec<(u64, usize)> {
@@ -56,9 +63,17 @@
             .and_then(|v| v.parse().ok())
             .unwrap_or(1);
         let Some(index) = query(uri, "item_count").and_then(|i| i.parse().ok()) else {
-            let digests: Vec<String> = (0..chunks)
+            let mut digests: Vec<String> = (0..chunks)
                 .map(|i| Digest::of(&chunk_data(version, i)).to_string())
                 .collect();
+            if let Some(index) = self.spoilt.lock().take() {
+                let digit = if digests[index].starts_with('0') {
+                    "1"
+                } else {
+                    "0"
+                };
+                digests[index].replace_range(..1, digit);
+            }
             let manifest = json!({"model": "m0", "version": version, "digests": digests});
             return full_response(StatusCode::OK, manifest.to_string());
         };
--- a/standins/src/users/store.rs
+++ b/standins/src/users/store.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{StatusCode, Uri};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -13,6 +14,10 @@
 
 use super::server::{Error, HttpResponse, connection_reset, full_response, query, serve};
 
+/// Texts in a spec that are sent in a form that can't be read: no Unicode text, invalid bytes, and
+/// a number out of range.
+pub const UNREADABLE: [&str; 3] = ["<half a pair>", "<bytes>", "<huge>"];
+
 #[derive(Clone, Debug)]
 struct Change {
     kind: String,
@@ -35,6 +40,8 @@
     unanswered: Arc<Mutex<Vec<String>>>,
     unanswered_calls: Arc<AtomicUsize>,
     full_cost: Arc<AtomicUsize>,
+    /// Kinds of the lists that were answered without stale data, with the number of the VM.
+    lists: Arc<Mutex<Vec<(String, u8)>>>,
     changed: Arc<Notify>,
 }
 
@@ -84,6 +91,16 @@
         self.full_cost.load(Ordering::Relaxed)
     }
 
+    /// Numbers of the VMs whose lists of `kind` were answered without stale data, in order.
+    #[must_use]
+    pub fn listing_vms(&self, kind: &str) -> Vec<u8> {
+        let lists = self.lists.lock();
+        { lists.iter() }
+            .filter(|(k, _)| k == kind)
+            .map(|(_, vm)| *vm)
+            .collect()
+    }
+
     /// Serves all VMs again.
     pub fn accept_all(&self) {
         self.rejected.lock().clear();
@@ -164,7 +181,10 @@
             return std::future::pending().await;
         }
         let Some(since) = query(uri, "watch").and_then(|w| w.parse().ok()) else {
-            return Ok(full_response(StatusCode::OK, self.list(&kind).to_string()));
+            if query(uri, "stale_ok") != Some("1") {
+                self.lists.lock().push((kind.clone(), vm));
+            }
+            return Ok(full_response(StatusCode::OK, encode(&self.list(&kind))));
         };
         let wait = query(uri, "wait_ms")
             .and_then(|w| w.parse().ok())
@@ -183,7 +203,7 @@
             if !events.is_empty() || time::Instant::now() >= end {
                 let revision = self.changes.lock().len();
                 let content = json!({"events": events, "as_of": revision});
-                return Ok(full_response(StatusCode::OK, content.to_string()));
+                return Ok(full_response(StatusCode::OK, encode(&content)));
             }
             // The next iteration returns once the wait time of the watch has passed.
             let _ = time::timeout_at(end, changed).await;
@@ -222,3 +242,17 @@
         "spec": change.spec,
     })
 }
+
+/// JSON text of `content`, with [`UNREADABLE`] texts replaced.
+fn encode(content: &Value) -> Bytes {
+    const FORMS: [&[u8]; 3] = [br#""\udcff\udcfe""#, b"\"\xff\xfe\"", b"1e999"];
+    let mut rest = content.to_string().into_bytes();
+    for (text, form) in UNREADABLE.iter().zip(FORMS) {
+        let text = format!("\"{text}\"").into_bytes();
+        let found = |bytes: &Vec<u8>| bytes.windows(text.len()).position(|w| w == text);
+        while let Some(at) = found(&rest) {
+            rest.splice(at..at + text.len(), form.iter().copied());
+        }
+    }
+    rest.into()
+}
