Refuse requests that a stopping gateway can't finish

Cause: a connection that was accepted before the close may bring its first request until header_timeout, up to 6 s after SIGTERM, and the request was served like any other although the process ends 7.5 s after SIGTERM. The log showed it as 'request finished' missing for a request that a target received, with 'stopped connections=3'; ruled out by the same logs: a close of the idle connection, and a target that broke off.

What is read later than 2.5 s after the signal (or five sixths of the time for new connections) is now refused with 503 and Retry-After 0 unless its time ends before the exit, whether it is the first of its connection or not. The decision is place::shutdown, with its load pattern.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,8 +1,8 @@
 //! Gateway process: accepts requests of callers, sends them to targets and returns the answers.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 
 use log::{info, warn};
 use parking_lot::Mutex;
@@ -27,6 +27,7 @@
 use crate::place::limit::Limits;
 use crate::place::pool::Pool;
 use crate::place::quarantine::Quarantine;
+use crate::place::shutdown::Shutdown;
 use crate::shared_state::Phase;
 use crate::telemetry;
 
@@ -46,11 +47,6 @@
 mod server;
 mod source;
 
-/// Time from SIGTERM until no new connections are accepted. Two readiness probes, one
-/// second apart, must fail before that.
-const ACCEPT_GRACE: Duration = Duration::from_secs(3);
-/// Time before the stop limit at which the process exits although connections are open.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Maximum number of waits for a later lifetime of a target; each is woken by every change of the
 /// catalog.
 const MAX_SUCCESSOR_WAITS: usize = 64;
@@ -81,8 +77,8 @@
     bounds: crate::node::settings::Bounds,
     /// Limits in force for callers' connections.
     caller_limits: watch::Sender<fleet::Limits>,
-    /// Cancelled at the start of the shutdown.
-    stopping: CancellationToken,
+    /// Set at the start of the shutdown.
+    shutdown: OnceLock<Shutdown>,
     /// Cancelled when open connections must be closed.
     closing: CancellationToken,
     /// Number of requests in progress.
@@ -132,7 +128,7 @@
         limits: Mutex::default(),
         bounds: settings.bounds.clone(),
         caller_limits: watch::Sender::default(),
-        stopping: CancellationToken::new(),
+        shutdown: OnceLock::new(),
         closing: CancellationToken::new(),
         active: AtomicUsize::new(0),
         connections: AtomicUsize::new(0),
@@ -152,16 +148,17 @@
     info!(vm = settings.vm.as_str(), role = "gateway"; "started");
     signals.wait_for_shutdown().await;
 
-    let deadline = time::Instant::now() + settings.bounds.stop_limit().saturating_sub(EXIT_MARGIN);
-    gateway.stopping.cancel();
+    let now = gateway.clock.now();
+    let plan = Shutdown::new(now, settings.bounds.stop_limit());
+    let shutdown = *gateway.shutdown.get_or_init(|| plan);
     info!(vm = settings.vm.as_str(), active = gateway.active(); "stopping");
-    time::sleep(ACCEPT_GRACE.min(settings.bounds.stop_limit() / 2)).await;
+    time::sleep_until(shutdown.accept_end().into()).await;
     gateway.closing.cancel();
     if let Err(e) = accepting.await {
         let reason = e.to_string();
         warn!(reason = reason.as_str(); "accepting connections failed");
     }
-    while gateway.connections() > 0 && time::Instant::now() < deadline {
+    while gateway.connections() > 0 && gateway.clock.now() < shutdown.exit() {
         time::sleep(IDLE_CHECK_INTERVAL).await;
     }
     info!(vm = settings.vm.as_str(), active = gateway.active(), connections = gateway.connections(); "stopped");
@@ -196,7 +193,13 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.stopping.is_cancelled()
+        self.shutdown.get().is_some()
+    }
+
+    /// Whether a request that ends by `end` and begins now is complete before the process exits.
+    fn may_begin(&self, end: Instant) -> bool {
+        let now = self.clock.now();
+        self.shutdown.get().is_none_or(|s| s.may_serve(now, end))
     }
 
     async fn sync_pool(self: Arc<Self>) {
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -194,6 +194,13 @@
 const INTERRUPTED: Refusal = Refusal::new(StatusCode::BAD_GATEWAY, "answer broke off");
 const TIMED_OUT: Refusal = Refusal::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
 
+/// Not run, because this process may exit before the answer is complete; others serve it.
+const STOPPING: Refusal = Refusal {
+    status: StatusCode::SERVICE_UNAVAILABLE,
+    outcome: "stopping",
+    retry_after: Some(Duration::ZERO),
+};
+
 /// Not run; coming back does not help either.
 const CRASHES_TARGETS: Refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "crashes targets");
 
@@ -312,6 +319,9 @@
         call: Call,
         mut record: Record<C>,
     ) -> Result<Reply<C>, (Refusal, Record<C>)> {
+        if !self.may_begin(call.end) {
+            return Err((STOPPING, record));
+        }
         if self.is_quarantined(&call) {
             return Err((CRASHES_TARGETS, record));
         }
--- a/src/place.rs
+++ b/src/place.rs
@@ -11,5 +11,6 @@
 pub mod patience;
 pub mod pool;
 pub mod quarantine;
+pub mod shutdown;
 pub mod slots;
 pub mod witness;
--- a/standins/tests/planned_stop.rs
+++ b/standins/tests/planned_stop.rs
@@ -12,13 +12,14 @@
 use corianderramp::node::stop::Signals;
 use http::Method;
 use rustix::process::{Signal, getpid, kill_process};
-use standins::users::{Behavior, Target};
+use serde_json::json;
+use standins::users::{self, Behavior, Target};
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
 
 use raw_caller::{Channel, Missing, head};
-use users_fleet::{Fleet, TIMEOUT, call_until_ok};
+use users_fleet::{CHUNKS, Fleet, TIMEOUT, call_until_ok};
 
 #[path = "support/raw_caller.rs"]
 mod raw_caller;
@@ -225,6 +226,60 @@
     assert!(outcomes.unread.len() <= 1, "{outcomes:?}");
 }
 
+/// Callers that sent their first request seconds after they had connected got part of a stream,
+/// which ended with the process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_first_requests_are_refused_or_answered_whole() {
+    let _signal = SIGNAL.lock().await;
+    let fleet = Fleet::start(4).await;
+    let desk = fleet
+        .target(10, "desk", 0, Behavior::CrashOnPath("never"))
+        .await;
+    let engine = fleet.target(11, "llm", 1, Behavior::Stream(1, 10)).await;
+    fleet.host(11);
+    let mut config = users::config_spec(2, fleet.net.address(2, 8000), CHUNKS);
+    config["routes"][0]["timeout_ms"] = json!(6_000);
+    fleet.store.put("config", "main", config);
+    let gateway = start_process(&fleet).await;
+    call_until_ok(gateway, Method::POST, "/plan/x").await;
+    engine.set_behavior(Behavior::LateStream(Duration::from_millis(4_800)));
+    let stopped = terminate();
+    let mut callers = JoinSet::new();
+    for i in 0..40_u64 {
+        let path = if i % 4 == 0 { "/book/x" } else { "/plan/x" };
+        callers.spawn(async move {
+            time::sleep_until(stopped + Duration::from_millis(1_500)).await;
+            let id = format!("late-{i}");
+            let mut channel = Channel::open(gateway).await.unwrap();
+            let at = stopped + ACCEPT_GRACE + Duration::from_millis(i * 30);
+            time::sleep_until(at).await;
+            let limit = "x-corianderramp-deadline-ms: 6000\r\n";
+            let bytes = head("POST", path, &id, limit);
+            let answer = match channel.send(bytes.as_bytes()).await {
+                Ok(()) => channel.answer(TIMEOUT).await.map(|a| a.status),
+                Err(_) => Err(Missing::Closed),
+            };
+            (id, answer)
+        });
+    }
+    let (streams, plain): (Vec<_>, Vec<_>) =
+        { callers.join_all().await }
+            .into_iter()
+            .partition(|(id, _)| {
+                !id["late-".len()..]
+                    .parse::<u64>()
+                    .unwrap()
+                    .is_multiple_of(4)
+            });
+    let streams = Outcomes::new(streams, &engine);
+    assert!(streams.lost.is_empty(), "{streams:?}");
+    assert!(streams.unread.is_empty(), "{streams:?}");
+    assert!(streams.refused > 0, "{streams:?}");
+    let plain = Outcomes::new(plain, &desk);
+    assert!(plain.lost.is_empty(), "{plain:?}");
+    assert_eq!(plain.answered, 10, "what ends in time is served: {plain:?}");
+}
+
 /// SIGHUP only checks the settings file; no request may be delayed or lost by it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reload_signals_beside_requests_lose_none() {
