Suspect requests whose target dies late in its answer

Cause: a broken stream was reported only while fewer than three reads of it had events, so the death of its target had no suspects. In the logs of hosts 'target died during requests' is missing beside 'target unreachable'. Ruled out: lost datagrams (the same script with a crash after one event held).

All broken streams are now reported. Sound ones beside them are cleared as before, by the answers that end well.

request_that_crashes_targets_midway_reaches_no_more failed before with 24 more requests, 3 allowed.

--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -13,9 +13,6 @@
 
 /// Largest response body of a plain service, bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-/// Reads of a stream from which its request is not suspected when the target dies: a request
-/// that crashes targets does so when its answer begins.
-const PROVEN_READS: u32 = 3;
 
 /// Why an answer is not complete.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -46,8 +43,6 @@
     /// Response that the events come from.
     pub response: TargetResponse<C>,
     splitter: Splitter,
-    /// Reads with complete events.
-    reads: u32,
 }
 
 impl<C: Clock> EventSource<C> {
@@ -57,7 +52,6 @@
         Self {
             response,
             splitter: Splitter::after(last_event),
-            reads: 0,
         }
     }
 
@@ -88,7 +82,6 @@
             };
             let events = self.splitter.push(&data).ok_or(ReadError::TooLong)?;
             if !events.is_empty() {
-                self.reads += 1;
                 return Ok(Some(events));
             }
         }
@@ -110,7 +103,7 @@
             && gateway.clock.now() < call.deadline
         {
             self.response.slot.record_result(false);
-            if self.reads < PROVEN_READS && error != ReadError::TooLong {
+            if error != ReadError::TooLong {
                 gateway.report_broken(call, &self.response.slot);
             }
         }
--- a/standins/tests/crashing_part.rs
+++ b/standins/tests/crashing_part.rs
@@ -33,11 +33,14 @@
 impl Deployment {
     /// Starts six engines with hosts and three gateways that serve.
     async fn start(index: u8) -> Self {
+        Self::start_with(index, &Behavior::CrashOn(BAD_PART)).await
+    }
+
+    async fn start_with(index: u8, behavior: &Behavior) -> Self {
         let fleet = Fleet::start(index).await;
         let mut targets = Vec::new();
         for vm in 10..16 {
-            let behavior = Behavior::CrashOn(BAD_PART);
-            targets.push(fleet.target(vm, "llm", 1, behavior).await);
+            targets.push(fleet.target(vm, "llm", 1, behavior.clone()).await);
             fleet.host(vm);
         }
         let gateways = (20..23).map(|vm| fleet.gateway(vm)).collect();
@@ -182,6 +185,20 @@
 #[tokio::test]
 async fn request_that_crashed_targets_reaches_no_more() {
     let deployment = Deployment::start(3).await;
+    repeat_bad_request(&deployment).await;
+}
+
+/// The same request crashes each target after several events of its answer. It was never
+/// suspected and crashed targets without end.
+#[tokio::test]
+async fn request_that_crashes_targets_midway_reaches_no_more() {
+    let behavior = Behavior::CrashMidway(BAD_PART, 6);
+    let deployment = Deployment::start_with(4, &behavior).await;
+    repeat_bad_request(&deployment).await;
+}
+
+/// Sends the same bad request to all gateways in turn and checks that it soon reaches no target.
+async fn repeat_bad_request(deployment: &Deployment) {
     let send = async |label: &str, count: usize| {
         for i in 0..count {
             let parts = format!("a0:40,{BAD_PART}:8");
