Skip entries of the store that can't be read

Cause: a page of a list and all events of a watch were decoded at once, so one bad text failed the whole answer, and the node listed again without end. Log line: 'store call failed, retrying ... malformed store response'.

Entries are now decoded one by one; the spec of one that can't be read is null, which the decoders reject by name. The same holds for numbers out of range and bytes that are not UTF-8. A page without any readable entry fails, since the next one can't be named.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,6 +14,8 @@
 use crate::fleet::revision;
 use crate::net;
 
+mod lenient;
+
 /// Maximum size of a response body, bytes; a page holds about 1 MB.
 const MAX_RESPONSE: usize = 4 * 1024 * 1024;
 /// Header with the number of times that the store came back from a copy.
@@ -76,8 +78,8 @@
     /// Metadata.
     #[serde(rename = "metadata")]
     pub meta: Meta,
-    /// Content, not yet decoded.
-    #[serde(default)]
+    /// Content, not yet decoded; null if it can't be read.
+    #[serde(default, deserialize_with = "lenient::value")]
     pub spec: Value,
 }
 
@@ -105,6 +107,7 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct Changes {
     /// Changes in order; empty if none occurred during the wait.
+    #[serde(deserialize_with = "lenient::list")]
     pub events: Vec<Event>,
     /// Composed revision from which the next watch continues.
     #[serde(rename = "as_of")]
@@ -122,6 +125,7 @@
 
 #[derive(Deserialize)]
 struct Page {
+    #[serde(deserialize_with = "lenient::list")]
     items: Vec<Object>,
     #[serde(default)]
     has_more: bool,
@@ -182,7 +186,7 @@
         let mut path = format!("/objects/{}?{options}", kind(topic));
         loop {
             let Answer { body, era } = self.get(&path, RESPONSE_TIMEOUT, 0).await?;
-            let mut page: Page = serde_json::from_slice(&body).context(MalformedSnafu)?;
+            let mut page: Page = lenient::parse(&body).context(MalformedSnafu)?;
             // A watch from the first page's revision covers changes made between pages.
             if list.revision == 0 {
                 list.revision = revision::at(era, page.as_of);
@@ -192,6 +196,11 @@
             for object in &mut page.items {
                 object.meta.revision = revision::at(era, object.meta.revision);
             }
+            // Without a name, the next page can't be requested.
+            if page.has_more && page.items.is_empty() {
+                let error = serde::de::Error::custom("no entry of the page can be read");
+                return Err(error).context(MalformedSnafu);
+            }
             list.items.extend(page.items);
             match list.items.last() {
                 Some(object) if page.has_more => {
@@ -223,7 +232,7 @@
         if era != revision::era(revision) {
             return OtherEraSnafu { era }.fail();
         }
-        let mut changes: Changes = serde_json::from_slice(&body).context(MalformedSnafu)?;
+        let mut changes: Changes = lenient::parse(&body).context(MalformedSnafu)?;
         changes.revision = revision::at(era, changes.revision);
         for event in &mut changes.events {
             let meta = &mut event.object.meta;
