Replace a wrong digest in a manifest

A manifest with one wrong digit took all engines of a region out of service until the next version, and the origin was asked for one chunk without end.

Cause: the first manifest that parses was kept for good and handed on. When the same data comes twice for a chunk and does not match, the manifest is now requested again, and the digest is replaced if the other copy has that of the data. Ruled out: taking the newer copy whole, which may be damaged elsewhere.

wrong_digest_in_a_manifest_is_replaced failed before: the version reached no target within 20 s.

--- a/src/host/chunks.rs
+++ b/src/host/chunks.rs
@@ -27,6 +27,8 @@
     data: Vec<Option<Bytes>>,
     /// Whether each chunk is being fetched from the origin.
     fetching: Vec<bool>,
+    /// Digest of the data that last came for each chunk and did not match the manifest.
+    mismatches: Vec<Option<Digest>>,
 }
 
 impl ChunkCache {
@@ -61,12 +63,13 @@
             })
         };
         let data = manifest.digests.iter().map(find).collect();
-        let fetching = vec![false; manifest.digests.len()];
+        let count = manifest.digests.len();
         let manifest = Arc::new(manifest);
         versions.push(Version {
             manifest: manifest.clone(),
             data,
-            fetching,
+            fetching: vec![false; count],
+            mismatches: vec![None; count],
         });
         versions.sort_by_key(|v| v.manifest.version);
         if versions.len() > MAX_VERSIONS {
@@ -95,6 +98,32 @@
         true
     }
 
+    /// Records that data with the digest `actual` came for a chunk and does not match the
+    /// manifest. Returns whether the same data came before, so that the manifest may be wrong.
+    pub fn record_mismatch(&self, manifest: &Manifest, index: usize, actual: Digest) -> bool {
+        let mut versions = self.versions.lock();
+        let found = versions
+            .iter_mut()
+            .find(|v| matches(v, &manifest.model, manifest.version));
+        let last = found.and_then(|v| v.mismatches.get_mut(index));
+        last.is_some_and(|last| last.replace(actual) == Some(actual))
+    }
+
+    /// Replaces the digest of a chunk in the manifest with that of `data`, and adds the chunk.
+    pub fn correct(&self, manifest: &Manifest, index: usize, data: &Bytes) {
+        let mut versions = self.versions.lock();
+        let found = versions
+            .iter_mut()
+            .find(|v| matches(v, &manifest.model, manifest.version));
+        if let Some(version) = found {
+            let manifest = Arc::make_mut(&mut version.manifest);
+            manifest.digests[index] = Digest::of(data);
+            version.data[index] = Some(data.clone());
+        }
+        drop(versions);
+        self.changed.notify_waiters();
+    }
+
     /// A chunk; `None` if it is not held.
     #[must_use]
     pub fn get(&self, model: &str, version: u64, index: usize) -> Option<Bytes> {
--- a/src/host/fetch.rs
+++ b/src/host/fetch.rs
@@ -11,6 +11,7 @@
 use metrics::counter;
 
 use crate::clock::Clock;
+use crate::digest::Digest;
 use crate::host::{Host, serve};
 use crate::net;
 use crate::platform::engine::{self, Manifest};
@@ -122,7 +123,9 @@
             }
             None => self.origin_chunk(model, version, index).await?,
         };
-        if !self.chunks.insert(manifest, index, &data) {
+        if !self.chunks.insert(manifest, index, &data)
+            && !self.correct_manifest(manifest, index, &data).await
+        {
             return Err(Failure::Corrupt { bytes: data.len() });
         }
         let source_kind = if address.is_some() { "peer" } else { "origin" };
@@ -134,6 +137,33 @@
         Ok(())
     }
 
+    /// Handles `data` that does not match its digest. If the same data came before, the manifest
+    /// may have been damaged on its way: the digest is replaced if another copy of the manifest
+    /// has that of the data. Returns whether it was.
+    async fn correct_manifest(&self, manifest: &Manifest, index: usize, data: &Bytes) -> bool {
+        let (model, version) = (manifest.model.as_str(), manifest.version);
+        let actual = Digest::of(data);
+        if !self.chunks.record_mismatch(manifest, index, actual) {
+            return false;
+        }
+        let copy = match self.request_manifest(model, version).await {
+            Ok(copy) if matches(&copy, model, version) => copy,
+            Ok(_) => return false,
+            Err(reason) => {
+                warn!(model, version, index, reason = reason.as_str(); "manifest not received again");
+                return false;
+            }
+        };
+        let is_confirmed = copy.digests.get(index) == Some(&actual);
+        if is_confirmed {
+            warn!(model, version, index; "wrong digest in the manifest replaced");
+            self.chunks.correct(manifest, index, data);
+        } else {
+            info!(model, version, index; "manifest confirmed, the same wrong data came again");
+        }
+        is_confirmed
+    }
+
     async fn origin_chunk(
         &self,
         model: &str,
--- a/standins/tests/pausing_weights.rs
+++ b/standins/tests/pausing_weights.rs
@@ -82,3 +82,18 @@
     let sent = sent_chunks(&fleet);
     assert!(sent <= CHUNKS + 2, "the origin sent {sent} chunks");
 }
+
+/// A manifest with one wrong digit was kept and handed on: no host took the chunk, and the origin
+/// was asked for it without end.
+#[tokio::test]
+async fn wrong_digest_in_a_manifest_is_replaced() {
+    let fleet = Fleet::start(2).await;
+    let (targets, _proxy) = start(&fleet).await;
+    fleet.origin.spoil_manifest(5);
+    fleet
+        .store
+        .put("versions", "m0", json!({"model": "m0", "version": 2}));
+    wait_for_version(&targets).await;
+    let sent = sent_chunks(&fleet);
+    assert!(sent <= 2 * CHUNKS, "the origin sent {sent} chunks");
+}
