Load only chunks that were just read back

Reproduced with real host processes: the chunks were read back one after the other, each over a new connection, and the order followed the last read. From about 45 ms an answer on, a chunk that turns bad while the others are read is loaded.

Other hypotheses: a chunk that was staged again was not read back (by reading; now it is); a process that pauses between the last read and the order (shown, order_after_a_pause_follows_new_reads); an order whose answer was lost and which the engine accepts later, with another version half staged (by reading, not shown).

Now eight connections read the chunks back at the same time and are kept; each read counts for a second, by the monotonic or the wall clock, whichever shows more; stale ones are read again right before the order, whose connection is open by then. While an order is unanswered nothing else is staged before a further order for the same version is answered. The decision is host::proof.

What remains: an engine that takes longer than a second for all reads in six rounds gets its order all the same, with a warning. An order that the engine accepts seconds after it was sent can't be taken back.

slow_reads_leave_no_chunk_unseen (4.3 s) and order_after_a_pause_follows_new_reads failed before.

--- a/src/host.rs
+++ b/src/host.rs
@@ -40,7 +40,9 @@
 mod limits;
 mod places;
 pub mod plan;
+mod proof;
 mod serve;
+mod staging;
 mod switch;
 
 /// Time between two polls of the target's report.
@@ -102,6 +104,8 @@
     is_reachable: watch::Sender<bool>,
     /// Whether a load order is being given or carried out.
     is_switching: AtomicBool,
+    /// Load order whose answer was lost.
+    unanswered_order: Mutex<Option<switch::UnansweredOrder>>,
     /// Sequence number of the next state sent to gateways.
     next_sequence: AtomicU64,
     /// Pairs of data centre and region, sorted by data centre.
@@ -157,6 +161,7 @@
         report: watch::Sender::default(),
         is_reachable: watch::Sender::default(),
         is_switching: AtomicBool::new(false),
+        unanswered_order: Mutex::default(),
         next_sequence: AtomicU64::new(0),
         center_regions: settings.data_center_regions(),
         clock,
--- a/src/host/switch.rs
+++ b/src/host/switch.rs
@@ -4,20 +4,17 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use log::{info, warn};
 use metrics::counter;
 use tokio::time;
 
 use crate::clock::Clock;
-use crate::digest::Digest;
+use crate::host::proof::Proof;
 use crate::host::{Host, plan};
-use crate::platform::engine::{self, LoadOutcome, Manifest};
+use crate::platform::engine::{self, LoadOutcome, Manifest, OrderConnection, Report};
 
 /// Time between two checks for a version to fetch or load.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Timeout for storing or reading a chunk in the target's staging area on this VM.
-const STAGE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay before the next attempt when no source had a manifest.
 const MANIFEST_RETRY: Duration = Duration::from_millis(300);
 /// Timeout for the answer to a load order.
@@ -38,6 +35,17 @@
     pub released: Option<Instant>,
 }
 
+/// Load order whose answer was lost.
+#[derive(Clone, Debug)]
+pub struct UnansweredOrder {
+    model: String,
+    version: u64,
+    /// Number of orders that the target had accepted before.
+    accepted: u64,
+    /// Start of the target's process.
+    started: u64,
+}
+
 impl<C: Clock> Host<C> {
     /// Version that the target is to load next; `None` if it is up to date.
     fn next_version(&self) -> Option<PendingVersion> {
@@ -184,7 +192,8 @@
             if !self.is_target_reachable() || self.report.borrow().busy {
                 continue;
             }
-            if let Some(next) = self.next_version() {
+            let next = self.unanswered_version().or_else(|| self.next_version());
+            if let Some(next) = next {
                 self.stage_and_load(&next).await;
             }
         }
@@ -218,70 +227,65 @@
                 }
             }
         }
-        if self.verify_staged(&manifest).await {
-            self.order_load(&manifest).await;
-        }
+        self.load_verified(next, &manifest).await;
     }
 
-    /// Copies all chunks into the target's staging area. Returns whether that succeeded.
-    async fn stage(&self, manifest: &Manifest) -> bool {
-        for index in 0..manifest.digests.len() {
-            let Some(data) = self.chunks.get(&manifest.model, manifest.version, index) else {
-                return false;
+    /// Closes the target for new requests and orders it to load the staged version, if its chunks
+    /// are sound.
+    async fn load_verified(&self, next: &PendingVersion, manifest: &Manifest) {
+        let mut proof = Proof::new(manifest.digests.len());
+        if !self.verify_staged(manifest, &mut proof).await {
+            return;
+        }
+        // Taken together: an order that the target accepts from here on conflicts with this one.
+        let report = self.report.borrow().clone();
+        if report.busy {
+            return;
+        }
+        self.is_switching.store(true, Ordering::Relaxed);
+        self.set_open(false, "switching");
+        time::sleep(ARRIVAL_GRACE).await;
+        if let Some(outcome) = self.order_load(manifest, &report, &mut proof).await {
+            let is_answered = outcome.is_ok();
+            let order = UnansweredOrder {
+                model: next.model.clone(),
+                version: next.version,
+                accepted: report.accepted_orders,
+                started: report.started,
             };
-            if !self.stage_chunk(manifest, index, data).await {
-                return false;
+            *self.unanswered_order.lock() = (!is_answered).then_some(order);
+            if let Ok(LoadOutcome::Begun) = outcome {
+                self.wait_for_load(next.version).await;
             }
         }
-        true
+        self.is_switching.store(false, Ordering::Relaxed);
+        self.update_report().await;
     }
 
-    async fn stage_chunk(&self, manifest: &Manifest, index: usize, data: Bytes) -> bool {
-        let staged = engine::stage_chunk(self.target, &manifest.model, index, data, STAGE_TIMEOUT);
-        match staged.await {
-            Ok(()) => true,
+    /// Gives the order to load the staged version, and logs its outcome; `None` if no order was
+    /// given, because chunks are damaged or the target accepts no connection.
+    async fn order_load(
+        &self,
+        manifest: &Manifest,
+        report: &Report,
+        proof: &mut Proof,
+    ) -> Option<Result<LoadOutcome, engine::Error>> {
+        let (model, version) = (manifest.model.as_str(), manifest.version);
+        let accepted = report.accepted_orders;
+        let connection = match OrderConnection::open(self.target, ORDER_TIMEOUT).await {
+            Ok(connection) => connection,
             Err(e) => {
                 let reason = e.to_string();
-                warn!(version = manifest.version, index, reason = reason.as_str(); "chunk not staged");
-                false
-            }
-        }
-    }
-
-    /// Reads the staged chunks back and stages those again that are damaged or unreadable.
-    /// Returns whether all chunks are in place.
-    async fn verify_staged(&self, manifest: &Manifest) -> bool {
-        for (index, digest) in manifest.digests.iter().enumerate() {
-            let read =
-                engine::read_staged(self.target, &manifest.model, index, STAGE_TIMEOUT).await;
-            if read.is_ok_and(|data| Digest::of(&data) == *digest) {
-                continue;
-            }
-            warn!(version = manifest.version, index; "staged chunk invalid, staging it again");
-            let data = self.chunks.get(&manifest.model, manifest.version, index);
-            let Some(data) = data else { return false };
-            if !self.stage_chunk(manifest, index, data).await {
-                return false;
+                warn!(model, version, accepted, reason = reason.as_str(); "load order not given");
+                return None;
             }
-        }
-        true
-    }
-
-    /// Closes the target for new requests and orders it to load the staged version.
-    async fn order_load(&self, manifest: &Manifest) {
-        let (model, version) = (manifest.model.as_str(), manifest.version);
-        // Taken together: an order that the target accepts from here on conflicts with this one.
-        let (is_loading, accepted) = {
-            let report = self.report.borrow();
-            (report.busy, report.accepted_orders)
         };
-        if is_loading {
-            return;
+        // This process may have been paused since the chunks were read.
+        if !self.verify_staged(manifest, proof).await {
+            return None;
         }
-        self.is_switching.store(true, Ordering::Relaxed);
-        self.set_open(false, "switching");
-        time::sleep(ARRIVAL_GRACE).await;
-        let ordered = engine::load(self.target, model, version, accepted, ORDER_TIMEOUT).await;
+        let ordered = connection.load(model, version, accepted, ORDER_TIMEOUT);
+        let ordered = ordered.await;
         let outcome = match &ordered {
             Ok(LoadOutcome::Begun) => "begun",
             Ok(LoadOutcome::Done) => "done",
@@ -289,12 +293,9 @@
             Err(_) => "unanswered",
         };
         counter!("corianderramp_orders_total", "outcome" => outcome).increment(1);
-        match ordered {
-            Ok(ordered) => {
-                info!(model, version, accepted, outcome:? = ordered; "load order answered");
-                if ordered == LoadOutcome::Begun {
-                    self.wait_for_load(version).await;
-                }
+        match &ordered {
+            Ok(outcome) => {
+                info!(model, version, accepted, outcome:? = outcome; "load order answered");
             }
             // The target may have accepted the order; its next report shows whether it did.
             Err(e) => {
@@ -302,7 +303,25 @@
                 warn!(model, version, accepted, reason = reason.as_str(); "load order failed");
             }
         }
-        self.is_switching.store(false, Ordering::Relaxed);
-        self.update_report().await;
+        Some(ordered)
+    }
+
+    /// Version of an order without an answer that the target may still accept. It must find the
+    /// chunks of that version, so nothing else is staged before a further order for it is
+    /// answered, after which the target refuses the former one.
+    fn unanswered_version(&self) -> Option<PendingVersion> {
+        let mut unanswered = self.unanswered_order.lock();
+        let order = unanswered.clone()?;
+        let report = self.report.borrow();
+        let is_open = (order.accepted, order.started) == (report.accepted_orders, report.started);
+        if !is_open || !self.is_complete(&order.model, order.version) {
+            *unanswered = None;
+            return None;
+        }
+        Some(PendingVersion {
+            model: order.model,
+            version: order.version,
+            released: None,
+        })
     }
 }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -169,29 +169,16 @@
     Ok(response.into_body())
 }
 
-/// Client that fetches the reports of one engine over a reused connection.
+/// Client for GET requests to one engine over a reused connection.
 #[derive(Debug)]
-pub struct ReportClient {
+struct Client {
     address: SocketAddr,
     connection: Option<net::Connection>,
 }
 
-impl ReportClient {
-    /// Creates a client for the engine at `address`; connects on first use.
-    #[must_use]
-    pub fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            connection: None,
-        }
-    }
-
-    /// Fetches the engine's current report.
-    ///
-    /// # Errors
-    /// Fails when the engine does not respond within `limit`, or not with a report.
-    pub async fn fetch(&mut self, limit: Duration) -> Result<Report, Error> {
-        let path = "/report";
+impl Client {
+    /// Sends a request; connects if there is no connection.
+    async fn get(&mut self, path: &str, limit: Duration) -> Result<Bytes, Error> {
         // The connection is reused only after a complete response.
         let open = self.connection.take().filter(net::Connection::is_open);
         let mut connection = match open {
@@ -208,12 +195,80 @@
             return StatusSnafu { path, status }.fail();
         }
         self.connection = Some(connection);
-        let wire: WireReport =
-            serde_json::from_slice(response.body()).context(MalformedSnafu { path })?;
+        Ok(response.into_body())
+    }
+}
+
+/// Client that fetches the reports of one engine over a reused connection.
+#[derive(Debug)]
+pub struct ReportClient {
+    client: Client,
+}
+
+impl ReportClient {
+    /// Creates a client for the engine at `address`; connects on first use.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        let connection = None;
+        Self {
+            client: Client {
+                address,
+                connection,
+            },
+        }
+    }
+
+    /// Fetches the engine's current report.
+    ///
+    /// # Errors
+    /// Fails when the engine does not respond within `limit`, or not with a report.
+    pub async fn fetch(&mut self, limit: Duration) -> Result<Report, Error> {
+        let path = "/report";
+        let body = self.client.get(path, limit).await?;
+        let wire: WireReport = serde_json::from_slice(&body).context(MalformedSnafu { path })?;
         Ok(convert(&wire))
     }
 }
 
+/// Client that reads staged chunks of one engine back over a reused connection.
+#[derive(Debug)]
+pub struct StageReader {
+    client: Client,
+}
+
+impl StageReader {
+    /// Creates a client for the engine at `address`; connects on first use.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        let connection = None;
+        Self {
+            client: Client {
+                address,
+                connection,
+            },
+        }
+    }
+
+    /// Reads chunk `index` from the engine's staging area and checks it against `digest`.
+    ///
+    /// # Errors
+    /// Fails when the engine does not have the chunk or does not respond within `limit`.
+    pub async fn is_sound(
+        &mut self,
+        model: &str,
+        (index, digest): (usize, &Digest),
+        limit: Duration,
+    ) -> Result<bool, Error> {
+        let body = self.client.get(&staged_path(model, index), limit).await?;
+        let is_sound = Digest::of(&body) == *digest;
+        if !is_sound {
+            // The bytes may belong to another response.
+            self.client.connection = None;
+        }
+        Ok(is_sound)
+    }
+}
+
 fn convert(wire: &WireReport) -> Report {
     Report {
         busy: wire.busy,
@@ -286,38 +341,63 @@
     index: usize,
     limit: Duration,
 ) -> Result<Bytes, Error> {
-    let path = format!("/stage-get/{model}?item_count={index}");
-    get(engine, &path, limit).await
+    get(engine, &staged_path(model, index), limit).await
 }
 
-/// Orders the engine to load the staged weights after its running requests. `accepted` is
-/// the number of orders that the engine is expected to have accepted so far.
-///
-/// # Errors
-/// Fails when the engine does not respond within `limit` or responds with an unexpected
-/// status. After a connection error or timeout, the order may have been accepted.
-pub async fn load(
+fn staged_path(model: &str, index: usize) -> String {
+    format!("/stage-get/{model}?item_count={index}")
+}
+
+/// Connection to an engine for one order, open so that the order can follow at once on a check.
+#[derive(Debug)]
+pub struct OrderConnection {
     engine: SocketAddr,
-    model: &str,
-    version: u64,
-    accepted: u64,
-    limit: Duration,
-) -> Result<LoadOutcome, Error> {
-    let path = "/order";
-    let order = WireOrder {
-        operation: "start",
-        model,
-        version,
-        switch_mode: "wait",
-        precondition: accepted,
-        fencing_token: version,
-    };
-    let body = serde_json::to_vec(&order).context(MalformedSnafu { path })?;
-    let response = call(engine, Method::POST, path, body.into(), limit).await?;
-    match response.status() {
-        StatusCode::ACCEPTED => Ok(LoadOutcome::Begun),
-        StatusCode::OK => Ok(LoadOutcome::Done),
-        StatusCode::CONFLICT => Ok(LoadOutcome::Conflict),
-        status => StatusSnafu { path, status }.fail(),
+    connection: net::Connection,
+}
+
+impl OrderConnection {
+    /// Connects to the engine at `engine`.
+    ///
+    /// # Errors
+    /// Fails when the engine does not accept the connection within `limit`.
+    pub async fn open(engine: SocketAddr, limit: Duration) -> Result<Self, Error> {
+        let connection = net::Connection::open(engine, limit);
+        let connection = connection.await.context(NetSnafu)?;
+        Ok(Self { engine, connection })
+    }
+
+    /// Orders the engine to load the staged weights after its running requests. `accepted` is
+    /// the number of orders that the engine is expected to have accepted so far.
+    ///
+    /// # Errors
+    /// Fails when the engine does not respond within `limit` or responds with an unexpected
+    /// status. After a connection error or timeout, the order may have been accepted, and the
+    /// engine may still accept it.
+    pub async fn load(
+        mut self,
+        model: &str,
+        version: u64,
+        accepted: u64,
+        limit: Duration,
+    ) -> Result<LoadOutcome, Error> {
+        let path = "/order";
+        let order = WireOrder {
+            operation: "start",
+            model,
+            version,
+            switch_mode: "wait",
+            precondition: accepted,
+            fencing_token: version,
+        };
+        let body = serde_json::to_vec(&order).context(MalformedSnafu { path })?;
+        let request = build_request(self.engine, Method::POST, path, body.into());
+        let response = self.connection.call(request, limit, MAX_RESPONSE).await;
+        let response = response.context(NetSnafu)?;
+        match response.status() {
+            StatusCode::ACCEPTED => Ok(LoadOutcome::Begun),
+            StatusCode::OK => Ok(LoadOutcome::Done),
+            StatusCode::CONFLICT => Ok(LoadOutcome::Conflict),
+            status => StatusSnafu { path, status }.fail(),
+        }
     }
 }
--- a/standins/tests/support/users_fleet.rs
+++ b/standins/tests/support/users_fleet.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +14,8 @@
 use corianderramp::{gateway, host, settings};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
-use standins::harness::Subnet;
+use standins::harness::process::Process;
+use standins::harness::{self, Subnet};
 use standins::users::{self, Behavior, Origin, Store, Target};
 use tokio::runtime::{Builder, Runtime};
 use tokio::time;
@@ -117,6 +118,16 @@
         start_node(self.settings(Role::Host, vm))
     }
 
+    /// Starts a gateway or host on VM number `vm` as a process, with its files in `folder`.
+    pub fn process(&self, role: Role, vm: u8, folder: &Path) -> Process {
+        let file = folder.join(format!("{vm}.toml"));
+        let settings = self.settings(role, vm);
+        std::fs::write(&file, toml::to_string(&settings).unwrap()).unwrap();
+        let program = harness::program("corianderrampd").unwrap();
+        let log = folder.join(format!("{vm}.log"));
+        Process::start(&program, &[&file], &log).unwrap()
+    }
+
     /// Starts a host on VM number `vm`.
     pub fn host(&self, vm: u8) {
         let settings = self.settings(Role::Host, vm);
