--- a/src/place/shutdown.rs
+++ b/src/place/shutdown.rs
@@ -9,8 +9,9 @@
 /// Time from the signal until no new connections are accepted. Two readiness probes, one second
 /// apart, must fail before that.
 const ACCEPT_GRACE: Duration = Duration::from_secs(3);
-/// Part of the time for new connections by which the process may handle the signal late.
-const LATE_SHARE: u32 = 6;
+/// Share of the time for new connections in which all requests are served. The process may handle
+/// the signal late, and a request counts by when it was sent after the signal.
+const SERVE_SHARE: f64 = 5.0 / 6.0;
 /// Time before the stop limit at which the process exits although connections are open.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
@@ -29,7 +30,7 @@
         let grace = ACCEPT_GRACE.min(limit / 2);
         Self {
             accept_end: now + grace,
-            serve_end: now + grace - grace / LATE_SHARE,
+            serve_end: now + grace.mul_f64(SERVE_SHARE),
             exit: now + limit.saturating_sub(EXIT_MARGIN),
         }
     }
--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -12,19 +12,23 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use parking_lot::Mutex;
-use serde_json::{Value, json};
 use tokio::sync::{Notify, watch};
 use tokio::time;
 
+pub use behavior::Behavior;
 pub use origin::{Origin, chunk_data};
 pub use pause::{Pause, Point, Silence};
 pub use spec::{config_spec, target_spec};
 pub use store::{Store, UNREADABLE};
 
+use self::behavior::has_part;
+use self::engine::Engine;
 use self::server::{
     Error, HttpResponse, body, connection_reset, full_response, query, serve_while_up,
 };
 
+mod behavior;
+mod engine;
 mod origin;
 mod pause;
 mod server;
@@ -37,56 +41,6 @@
 /// Time for which a crashed target is away, unless the test sets another one.
 pub const RESTART_TIME: Duration = Duration::from_millis(600);
 
-/// How a target handles requests.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Behavior {
-    /// Responds with status 200 and this text.
-    Respond(&'static str),
-    /// Rejects the request without running it.
-    Decline,
-    /// Rejects the request without running it, and names this time as `retry-after`.
-    DeclineFor(&'static str),
-    /// Runs the request and closes the connection without a response.
-    CloseConnection,
-    /// Responds with the id of another request.
-    WrongRequestId,
-    /// Streams the events from the first to the second number, of ten. Unless the second is
-    /// ten, the connection then closes within an event. A resumed request starts after its
-    /// last event.
-    Stream(u64, u64),
-    /// Streams all events, the first one after this delay.
-    LateStream(Duration),
-    /// Streams all events, but crashes when it begins to answer a request whose prompt has
-    /// this part. The connections to it then break, and it is back after [`RESTART_TIME`].
-    CrashOn(&'static str),
-    /// Like [`Self::CrashOn`], but the crash comes after this number of events.
-    CrashMidway(&'static str, u64),
-    /// Works for [`WORK_TIME`] and then responds with status 200, or crashes if the request's
-    /// path contains this text: within its answer if the path ends with `/partial`. A crash
-    /// breaks all requests in progress.
-    CrashOnPath(&'static str),
-    /// Never responds.
-    Hang,
-}
-
-impl Behavior {
-    /// Time that answers name as `retry-after`.
-    fn named_wait(&self) -> Option<&'static str> {
-        match self {
-            Self::DeclineFor(wait) => Some(wait),
-            _ => None,
-        }
-    }
-
-    /// Whether a gateway gets the head of the answer and takes it for that of its request.
-    fn has_readable_head(&self) -> bool {
-        matches!(
-            self,
-            Self::Respond(_) | Self::Decline | Self::DeclineFor(_) | Self::Stream(..)
-        )
-    }
-}
-
 /// Request that a target received.
 #[derive(Clone, Debug)]
 pub struct Received {
@@ -109,21 +63,6 @@
     pub told_wait: Option<&'static str>,
 }
 
-/// Engine state of a target.
-#[derive(Debug, Default)]
-struct Engine {
-    version: u64,
-    orders: u64,
-    staged: Vec<Option<Bytes>>,
-    /// When each staged chunk was last stored or its last read was answered.
-    seen: Vec<Instant>,
-    /// Number of staged chunks that were read.
-    reads: u64,
-    /// For each accepted order, the longest time since a chunk was stored or read.
-    unseen: Vec<Duration>,
-    crashes: u64,
-}
-
 /// Simulated target with scripted behavior.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -152,10 +91,7 @@
         version: u64,
         behavior: Behavior,
     ) -> Self {
-        let engine = Engine {
-            version,
-            ..Engine::default()
-        };
+        let engine = Engine::new(version);
         let target = Self {
             id: Arc::new(Mutex::new(id.to_owned())),
             restart_time: Arc::new(Mutex::new(RESTART_TIME)),
@@ -258,15 +194,6 @@
         self.engine.lock().unseen.clone()
     }
 
-    fn read_staged(&self, index: usize) -> Option<Bytes> {
-        let mut engine = self.engine.lock();
-        engine.reads += 1;
-        if let Some(seen) = engine.seen.get_mut(index) {
-            *seen = Instant::now();
-        }
-        engine.staged.get(index).cloned().flatten()
-    }
-
     async fn handle(&self, request: Request<Incoming>) -> Result<HttpResponse, Error> {
         let (parts, incoming) = request.into_parts();
         let data = incoming
@@ -283,31 +210,7 @@
         }
         let path = parts.uri.path().to_owned();
         if is_internal(&path) {
-            self.pauses.wait_while_silent().await;
-        }
-        let index = query(&parts.uri, "item_count").and_then(|i| i.parse::<usize>().ok());
-        match (path.as_str(), index) {
-            ("/report", _) => return Ok(full_response(StatusCode::OK, self.report().to_string())),
-            ("/order", _) => return Ok(self.handle_order(&data)),
-            (p, Some(index)) if p.starts_with("/stage-put/") => {
-                let mut engine = self.engine.lock();
-                let size = engine.staged.len().max(index + 1);
-                engine.staged.resize(size, None);
-                engine.staged[index] = Some(data);
-                engine.seen.resize(size, Instant::now());
-                engine.seen[index] = Instant::now();
-                return Ok(full_response(StatusCode::OK, ""));
-            }
-            (p, Some(index)) if p.starts_with("/stage-get/") => {
-                let chunk = self.read_staged(index);
-                let delay = *self.read_delay.lock();
-                time::sleep(delay).await;
-                let status = chunk
-                    .as_ref()
-                    .map_or(StatusCode::NOT_FOUND, |_| StatusCode::OK);
-                return Ok(full_response(status, chunk.unwrap_or_default()));
-            }
-            _ => {}
+            return Ok(self.handle_internal(&parts.uri, data).await);
         }
         let last_event = parts.headers.get("last-event-id").cloned();
         let prompt = parts.headers.get("x-corianderramp-prompt-prefix").cloned();
@@ -371,6 +274,33 @@
         Ok(answer.apply(response))
     }
 
+    /// Handles a call of the host beside the target.
+    async fn handle_internal(&self, uri: &Uri, data: Bytes) -> HttpResponse {
+        self.pauses.wait_while_silent().await;
+        let index = query(uri, "item_count").and_then(|i| i.parse::<usize>().ok());
+        match (uri.path(), index) {
+            ("/report", _) => {
+                let report = self.engine.lock().report();
+                full_response(StatusCode::OK, report.to_string())
+            }
+            ("/order", _) => full_response(self.engine.lock().handle_order(&data), ""),
+            (path, Some(index)) if path.starts_with("/stage-put/") => {
+                self.engine.lock().store(index, data);
+                full_response(StatusCode::OK, "")
+            }
+            (_, Some(index)) => {
+                let chunk = self.engine.lock().read(index);
+                let delay = *self.read_delay.lock();
+                time::sleep(delay).await;
+                let status = chunk
+                    .as_ref()
+                    .map_or(StatusCode::NOT_FOUND, |_| StatusCode::OK);
+                full_response(status, chunk.unwrap_or_default())
+            }
+            (_, None) => full_response(StatusCode::NOT_FOUND, ""),
+        }
+    }
+
     /// Adds a request to those received and returns its number.
     fn record(&self, request: Received) -> usize {
         let mut received = self.received.lock();
@@ -430,6 +360,17 @@
                 });
                 Ok(Response::new(StreamBody::new(late.boxed())))
             }
+            Behavior::PacedStream(pause) => {
+                let pause = *pause;
+                let last_event = last_event.and_then(|e| e.to_str().ok()?.parse::<u64>().ok());
+                let numbers = last_event.map_or(1, |e| e + 1)..=10;
+                let paced = stream::iter(numbers).then(move |i| async move {
+                    time::sleep(pause).await;
+                    let event = Bytes::from(format!("id: {i}\ndata: token{i}\n\n"));
+                    Ok(Frame::data(event))
+                });
+                Ok(Response::new(StreamBody::new(paced.boxed())))
+            }
             Behavior::Stream(first, last) => {
                 let last_event = last_event.and_then(|e| e.to_str().ok()?.parse::<u64>().ok());
                 let start = last_event.map_or(*first, |e| e + 1);
@@ -497,35 +438,6 @@
         });
         StreamBody::new(paced.boxed())
     }
-
-    fn report(&self) -> Value {
-        let engine = self.engine.lock();
-        let models = if engine.version == 0 {
-            json!([])
-        } else {
-            json!([{"name": "m0", "version": engine.version, "adapters": []}])
-        };
-        json!({"busy": false, "sequence": engine.orders, "queued": 0, "running": 0, "models": models, "born": engine.crashes + 1})
-    }
-
-    fn handle_order(&self, data: &Bytes) -> HttpResponse {
-        let order: Value = serde_json::from_slice(data).unwrap_or_default();
-        let mut engine = self.engine.lock();
-        if order["precondition"] != json!(engine.orders) {
-            return full_response(StatusCode::CONFLICT, "");
-        }
-        engine.orders += 1;
-        let longest = engine.seen.iter().map(Instant::elapsed).max();
-        engine.unseen.push(longest.unwrap_or_default());
-        engine.version = order["version"].as_u64().unwrap_or(0);
-        full_response(StatusCode::ACCEPTED, "")
-    }
-}
-
-/// Whether a prompt has a part with this id.
-fn has_part(prompt: Option<&http::HeaderValue>, id: &str) -> bool {
-    let prompt = prompt.and_then(|p| p.to_str().ok()).unwrap_or_default();
-    { prompt.split(',') }.any(|p| p.split(':').next() == Some(id))
 }
 
 /// Whether a request is one of the host beside the target.
--- a/standins/tests/soak_platform.rs
+++ b/standins/tests/soak_platform.rs
@@ -151,7 +151,7 @@
     async fn inject_fault(&self, rng: &mut StdRng, nodes: &mut [Node], version: &mut u64) {
         let index = rng.random_range(0..nodes.len());
         let (role, vm) = (nodes[index].role, nodes[index].vm);
-        match rng.random_range(0..20) {
+        match rng.random_range(0..21) {
             0 => {
                 let told = Instant::now();
                 nodes[index].process.kill();
@@ -209,7 +209,7 @@
                 let request = users_fleet::request(Method::POST, "/book/fatal", &id);
                 tokio::spawn(users_fleet::call(address, request));
             }
-            11 => self.engines[rng.random_range(0..self.engines.len())].crash(),
+            11 => self.any_engine(rng).crash(),
             12 => self.restore_store(rng.random_range(1..6), *version).await,
             13 => self.pause_answers(rng),
             14 => self.any_target(rng).fall_silent(pause_time(rng)),
@@ -234,10 +234,10 @@
                 self.any_target(rng).set_leaving(true);
                 self.disturbances.lock().add_leaving();
             }
+            19 => self.any_engine(rng).set_read_delay(pause_time(rng) / 4),
             _ => {
                 let last = rng.random_range(2..9);
-                let engine = rng.random_range(0..self.engines.len());
-                self.engines[engine].set_behavior(Behavior::Stream(1, last));
+                self.any_engine(rng).set_behavior(Behavior::Stream(1, last));
             }
         }
         if index >= HOSTS.len() {
@@ -324,6 +324,7 @@
             .for_each(|e| e.set_behavior(Behavior::Stream(1, 10)));
         let targets = self.desks.iter().chain(&self.engines);
         for target in targets {
+            target.set_read_delay(Duration::ZERO);
             target.set_rate_limit(None);
             target.set_pause(None);
         }
@@ -346,6 +347,10 @@
         }
     }
 
+    fn any_engine(&self, rng: &mut StdRng) -> &Target {
+        &self.engines[rng.random_range(0..self.engines.len())]
+    }
+
     fn any_target(&self, rng: &mut StdRng) -> &Target {
         let count = self.desks.len() + self.engines.len();
         let index = rng.random_range(0..count);
@@ -475,7 +480,8 @@
 
 /// Guards against unsafe requests that run twice, rejected requests that ran, truncated
 /// responses or those of another request, requests that a gateway read and neither answered nor
-/// refused, and gateways that do not recover after overlapping faults.
+/// refused, chunks that are loaded without a look, and gateways that do not recover after
+/// overlapping faults.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_while_processes_and_targets_fail() {
     let seconds = std::env::var("SOAK_SECONDS").ok();
--- a/standins/tests/support/kept_calls.rs
+++ b/standins/tests/support/kept_calls.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Opens a connection for the next request.
+    pub async fn connect(&mut self) {
+        self.sender = self.connection().await;
+    }
+
     /// Connection to the gateway: the kept one if it is still open.
     async fn connection(&mut self) -> Option<SendRequest<Full<Bytes>>> {
         if let Some(mut sender) = self.sender.take()
--- a/standins/tests/support/soak_check.rs
+++ b/standins/tests/support/soak_check.rs
@@ -14,6 +14,8 @@
 pub const DEADLINE: Duration = Duration::from_secs(3);
 /// Time before a caller's deadline from which an answer may end without being whole.
 const EARLY: Duration = Duration::from_millis(100);
+/// Longest time for which a chunk that is loaded may have been bad.
+const TOLERANCE: Duration = Duration::from_secs(3);
 /// Time in which a caller notices that a process has ended.
 const NOTICE: Duration = Duration::from_millis(200);
 
@@ -90,8 +92,15 @@
 ];
 
 impl Run<'_> {
-    /// Checks the answers against the requests that the targets ran.
+    /// Checks the answers against the requests that the targets ran, and what targets loaded.
     pub fn check(&self) {
+        let unseen = self.targets.iter().flat_map(Target::unseen_times).max();
+        let unseen = unseen.unwrap_or_default();
+        let seed = self.seed;
+        assert!(
+            unseen < TOLERANCE,
+            "seed {seed}: loaded unseen for {unseen:?}"
+        );
         let received: Vec<_> = self.targets.iter().flat_map(Target::received).collect();
         let broken: HashSet<String> = self.targets.iter().flat_map(Target::broken).collect();
         let log = self.logs.iter().map(std::fs::read_to_string);
