Let relays list first after an outage of the store

Cause: while the store is silent no relay is in contact with it, so every node turns to the store itself, and at its return each lists a configuration of hundreds of KB over the links between the regions, which the relays need too.

Ruled out: lists that were only cut too early, since the logs show connects timing out.

--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -14,6 +14,7 @@
 use crate::fleet::catalog::{Catalog, Entry, LISTED_AGE, Topic};
 use crate::fleet::revision;
 use crate::node::freshness::{Cadence, StoreContact};
+use crate::node::relay::Mode;
 use crate::node::settings::Settings;
 use crate::node::{SharedCatalog, eras, relay};
 use crate::platform::decode;
@@ -34,12 +35,14 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest backoff after failed calls.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
+/// The same for a node that lists first after an outage: all others wait for it.
+const FIRST_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Spawns the tasks that follow the store, directly or through a relay of the region.
 /// Returns the time of the last contact with the store, which these tasks update.
 pub fn start<C: Clock>(settings: &Settings, catalog: &SharedCatalog, clock: &C) -> StoreContact {
     let contact = StoreContact::new(&settings.bounds);
-    let (direct, is_direct) = watch::channel(false);
+    let (mode, current) = watch::channel(Mode::Relayed);
     for topic in Topic::ALL {
         tokio::spawn(run(
             topic,
@@ -47,7 +50,7 @@
             settings.store,
             catalog.clone(),
             contact.clone(),
-            is_direct.clone(),
+            current.clone(),
             clock.clone(),
         ));
     }
@@ -63,39 +66,40 @@
         catalog.clone(),
         contact.clone(),
         region,
-        direct,
+        mode,
         clock.clone(),
     ));
     if settings.target.is_some() {
         let store = settings.store;
-        tokio::spawn(probe_store(
-            store,
-            contact.clone(),
-            is_direct,
-            clock.clone(),
-        ));
+        tokio::spawn(probe_store(store, contact.clone(), current, clock.clone()));
     }
     contact
 }
 
 /// Finds the relays of the region and follows them until the process ends.
 ///
-/// Load pattern: all nodes start at the same moment. A list of targets that may be outdated
-/// is small and cheap; the complete catalog comes from the relays that it names.
+/// Load pattern: all nodes start at the same moment, or some while the store answers nobody. A list
+/// of targets that may be outdated is small and cheap; the complete catalog comes from the relays
+/// that it names.
 async fn find_relays<C: Clock>(
     store: SocketAddr,
     catalog: SharedCatalog,
     contact: StoreContact,
     region: relay::Region,
-    direct: watch::Sender<bool>,
+    mode: watch::Sender<Mode>,
     clock: C,
 ) {
     let mut end = clock.now() + region.limit;
     let mut client = Client::new(store);
     let mut backoff = INITIAL_BACKOFF;
-    while clock.now() < end {
+    let mut has_answered = false;
+    while clock.now() < end || !has_answered {
         match client.list_stale(Topic::Targets).await {
             Ok(list) => {
+                if !has_answered {
+                    has_answered = true;
+                    end = clock.now() + region.limit;
+                }
                 let entries = list.items.into_iter().filter_map(|object| {
                     let Object { meta, spec } = object;
                     let value = decode::target(&meta.name, spec).ok()?;
@@ -129,7 +133,7 @@
         backoff = (backoff * 2).min(MAX_BACKOFF);
     }
     drop(client);
-    relay::run(catalog, contact, region, direct, clock).await;
+    relay::run(catalog, contact, region, mode, clock).await;
 }
 
 /// Probes the store periodically while this node follows it directly, so that followers of
@@ -137,11 +141,11 @@
 async fn probe_store<C: Clock>(
     store: SocketAddr,
     contact: StoreContact,
-    mut direct: watch::Receiver<bool>,
+    mut mode: watch::Receiver<Mode>,
     clock: C,
 ) {
     loop {
-        if direct.wait_for(|direct| *direct).await.is_err() {
+        if mode.wait_for(|mode| mode.is_direct()).await.is_err() {
             return;
         }
         time::sleep(PROBE_INTERVAL).await;
@@ -164,7 +168,7 @@
     store: SocketAddr,
     catalog: SharedCatalog,
     contact: StoreContact,
-    mut direct: watch::Receiver<bool>,
+    mut mode: watch::Receiver<Mode>,
     clock: C,
 ) {
     let mut follower = Follower {
@@ -178,12 +182,15 @@
         rejected: BTreeSet::new(),
     };
     loop {
-        if direct.wait_for(|direct| *direct).await.is_err() {
-            return;
-        }
+        let current = mode.wait_for(|mode| mode.is_direct()).await.map(|m| *m);
+        let precedence = match current {
+            Ok(Mode::Direct { precedence }) => precedence,
+            Ok(Mode::Relayed) => continue,
+            Err(_) => return,
+        };
         tokio::select! {
-            () = follower.follow(store) => {}
-            _ = direct.wait_for(|direct| !*direct) => {}
+            () = follower.follow(store, precedence) => {}
+            _ = mode.wait_for(|mode| !mode.is_direct()) => {}
         }
     }
 }
@@ -211,8 +218,9 @@
 }
 
 impl<C: Clock> Follower<C> {
-    /// Lists the topic, then watches it, until the future is dropped.
-    async fn follow(&mut self, store: SocketAddr) {
+    /// Lists the topic, then watches it, until the future is dropped. After an outage of the store,
+    /// the relays list first and have `precedence` to bring the topic to this node.
+    async fn follow(&mut self, store: SocketAddr, precedence: Duration) {
         let topic = self.topic;
         let mut client = Client::new(store);
         let mut backoff = INITIAL_BACKOFF;
@@ -261,7 +269,14 @@
                     // After an outage a list is cheaper than a watch: it has each object once,
                     // while the history may have it many times.
                     revision = None;
-                    backoff = self.wait_until_reachable(&mut client, backoff).await;
+                    let age = self.contact.age(self.clock.now());
+                    backoff = self
+                        .wait_until_reachable(&mut client, backoff, precedence)
+                        .await;
+                    // Without an outage, a relay would have been followed again.
+                    if age.is_none_or(|a| a >= precedence / 2) {
+                        time::sleep(precedence).await;
+                    }
                 }
             }
         }
@@ -270,7 +285,17 @@
     /// Waits until the store answers the cheapest call. One topic makes it for all, because
     /// every node of the deployment probes a store that is down. Returns the backoff for the
     /// next failure.
-    async fn wait_until_reachable(&self, client: &mut Client, mut backoff: Duration) -> Duration {
+    async fn wait_until_reachable(
+        &self,
+        client: &mut Client,
+        mut backoff: Duration,
+        precedence: Duration,
+    ) -> Duration {
+        let longest = if precedence.is_zero() {
+            FIRST_BACKOFF
+        } else {
+            MAX_BACKOFF
+        };
         let failed_at = self.clock.now();
         let _guard = self.contact.probe_lock.lock().await;
         loop {
@@ -280,13 +305,15 @@
                 return backoff;
             }
             time::sleep(backoff).await;
-            backoff = (backoff * 2).min(MAX_BACKOFF);
-            match client.ping().await {
-                Ok(()) => self.contact.record(self.clock.now()),
-                Err(e) => {
+            backoff = (backoff * 2).min(longest);
+            // A call that arrives during an outage may never be answered.
+            match time::timeout(PROBE_TIMEOUT, client.ping()).await {
+                Ok(Ok(())) => self.contact.record(self.clock.now()),
+                Ok(Err(e)) => {
                     let reason = e.to_string();
                     debug!(reason = reason.as_str(); "store probe failed");
                 }
+                Err(_) => debug!("store probe timed out"),
             }
         }
     }
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -160,15 +160,41 @@
     pub fn relays(&self, catalog: &Catalog) -> Vec<SocketAddr> {
         choice::relays(catalog, &self.data_centers, self.port)
     }
+
+    /// Time without contact to any of `relays` after which this node follows the store itself.
+    fn patience(&self, relays: &[SocketAddr]) -> Duration {
+        choice::patience(relays, self.own, self.limit, rand::rng().random())
+    }
+}
+
+/// How a node keeps its catalog current.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mode {
+    /// From a relay.
+    Relayed,
+    /// From the store itself.
+    Direct {
+        /// Time that the relays get, once the store answers again after an outage, before this
+        /// node lists the catalog itself.
+        precedence: Duration,
+    },
+}
+
+impl Mode {
+    /// Whether the node follows the store itself.
+    #[must_use]
+    pub fn is_direct(self) -> bool {
+        matches!(self, Self::Direct { .. })
+    }
 }
 
-/// Polls the region's relays and sets `direct` to whether this node must follow the store
-/// itself, as the first relay always does.
+/// Polls the region's relays and sets `mode` to whether this node must follow the store itself, as
+/// the first relay always does.
 pub async fn run<C: Clock>(
     catalog: SharedCatalog,
     contact: StoreContact,
     region: Region,
-    direct: watch::Sender<bool>,
+    mode: watch::Sender<Mode>,
     clock: C,
 ) {
     let mut follower = Follower {
@@ -184,21 +210,17 @@
         let relays = region.relays(&follower.catalog.snapshot());
         let upstreams = choice::upstreams(&relays, region.own);
         if upstreams.is_empty() {
-            set_direct(
-                &direct,
-                true,
-                "this node is the first relay or there is none",
-            );
+            let precedence = Duration::ZERO;
+            let reason = "this node is the first relay or there is none";
+            set_mode(&mode, Mode::Direct { precedence }, reason);
             time::sleep(RETRY_INTERVAL).await;
             continue;
         }
-        let is_direct = *direct.borrow();
+        let is_direct = mode.borrow().is_direct();
         let asked = follower.clock.now();
         if follower.poll_any(&upstreams, is_direct).await {
-            set_direct(&direct, false, "following a relay");
-            let draw = rand::rng().random();
-            let patience = choice::patience(&relays, region.own, region.limit, draw);
-            patience_end = follower.clock.now() + patience;
+            set_mode(&mode, Mode::Relayed, "following a relay");
+            patience_end = follower.clock.now() + region.patience(&relays);
             continue;
         }
         // Relays that are silent may be paused, and asking them again takes as long again. Those
@@ -211,17 +233,19 @@
         if is_direct {
             time::sleep(RETRY_INTERVAL).await;
         } else if judged >= patience_end {
-            set_direct(&direct, true, "no relay in contact with the store");
+            let precedence = choice::precedence(region.patience(&relays), region.limit);
+            let reason = "no relay in contact with the store";
+            set_mode(&mode, Mode::Direct { precedence }, reason);
         } else {
             time::sleep(WAIT_INTERVAL).await;
         }
     }
 }
 
-fn set_direct(direct: &watch::Sender<bool>, is_direct: bool, reason: &'static str) {
-    let changed = direct.send_if_modified(|old| std::mem::replace(old, is_direct) != is_direct);
+fn set_mode(current: &watch::Sender<Mode>, mode: Mode, reason: &'static str) {
+    let changed = current.send_if_modified(|old| std::mem::replace(old, mode) != mode);
     if changed {
-        info!(direct = is_direct, reason; "store follow mode changed");
+        info!(direct = mode.is_direct(), reason; "store follow mode changed");
     }
 }
 
--- a/src/node/relay/choice.rs
+++ b/src/node/relay/choice.rs
@@ -95,3 +95,27 @@
         None => quarter + quarter.mul_f64(draw),
     }
 }
+
+/// Time that a node with `patience` leaves the relays to list the catalog and to pass it on, once
+/// the store answers again after an outage; `limit` as for [`patience`].
+///
+/// Load pattern: the store answers nobody for seconds, so that all nodes turn to it themselves, and
+/// a large configuration changed meanwhile. If each node listed it at the return, the lists would
+/// fill the links between the regions, time out and be repeated, those of the relays too.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use corianderramp::node::relay::choice;
+///
+/// let limit = Duration::from_secs(4);
+/// assert_eq!(choice::precedence(Duration::ZERO, limit), Duration::ZERO);
+/// assert_eq!(choice::precedence(limit / 2, limit), Duration::from_secs(3));
+/// ```
+#[must_use]
+pub fn precedence(patience: Duration, limit: Duration) -> Duration {
+    if patience.is_zero() {
+        return Duration::ZERO;
+    }
+    limit / 4 + patience
+}
