--- a/src/host/staging.rs
+++ b/src/host/staging.rs
@@ -46,17 +46,10 @@
     /// damaged or unreadable. Returns whether all chunks are in place.
     pub(super) async fn verify_staged(&self, manifest: &Manifest, proof: &mut Proof) -> bool {
         let started = self.clock.now();
-        let mut reads = 0;
-        for round in 0..MAX_ROUNDS {
-            let stale = proof.stale(Moment::of(&self.clock));
-            if stale.is_empty() {
-                if round > 0 {
-                    let took = self.clock.now().saturating_duration_since(started);
-                    let ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
-                    info!(version = manifest.version, rounds = round, reads, ms; "staged chunks verified");
-                }
-                return true;
-            }
+        let mut stale = proof.stale(Moment::of(&self.clock));
+        let (mut rounds, mut reads) = (0, 0);
+        while !stale.is_empty() && rounds < MAX_ROUNDS {
+            rounds += 1;
             reads += stale.len();
             let shares = stale.chunks(stale.len().div_ceil(READERS));
             let shares = shares.map(|indexes| self.verify_chunks(manifest, indexes));
@@ -69,11 +62,21 @@
                     }
                 }
             }
+            stale = proof.stale(Moment::of(&self.clock));
+        }
+        let version = manifest.version;
+        if !stale.is_empty() {
+            let age = proof.age(Moment::of(&self.clock));
+            let ms = age.map(|a| u64::try_from(a.as_millis()).unwrap_or(u64::MAX));
+            warn!(version, reads, age = ms; "staged chunks are not read back in time");
+            return age.is_some();
         }
-        let age = proof.age(Moment::of(&self.clock));
-        let ms = age.map(|a| u64::try_from(a.as_millis()).unwrap_or(u64::MAX));
-        warn!(version = manifest.version, reads, age = ms; "staged chunks are not read back in time");
-        age.is_some()
+        if rounds > 0 {
+            let took = self.clock.now().saturating_duration_since(started);
+            let ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+            info!(version, rounds, reads, ms; "staged chunks verified");
+        }
+        true
     }
 
     /// Reads chunks back one after the other. Returns when each was requested, or `None` for those
