Know requests that a crash finds in the listener's backlog

Traced on the stand-in: of 2,400 requests sent to a target within 6 ms around a crash, 98 had been accepted by the kernel and were reset with the listener, so that the target never saw them (one trial of 40 crashes). A gateway rightly answers 502: it had sent the request, which may have run, and 502 promises nothing.

--- a/standins/src/users.rs
+++ b/standins/src/users.rs
@@ -66,6 +66,7 @@
 /// Simulated target with scripted behavior.
 #[derive(Clone, Debug)]
 pub struct Target {
+    address: SocketAddr,
     /// Id of the current lifetime.
     id: Arc<Mutex<String>>,
     restart_time: Arc<Mutex<Duration>>,
@@ -93,6 +94,7 @@
     ) -> Self {
         let engine = Engine::new(version);
         let target = Self {
+            address,
             id: Arc::new(Mutex::new(id.to_owned())),
             restart_time: Arc::new(Mutex::new(RESTART_TIME)),
             rate_limit: Arc::default(),
@@ -113,6 +115,12 @@
         target
     }
 
+    /// Address that it listens at.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Requests that the target received, other than reports, orders and staged chunks.
     #[must_use]
     pub fn received(&self) -> Vec<Received> {
@@ -163,6 +171,12 @@
         self.engine.lock().crashes
     }
 
+    /// When the target crashed, in order.
+    #[must_use]
+    pub fn crash_times(&self) -> Vec<Instant> {
+        self.engine.lock().crash_times.clone()
+    }
+
     /// Overwrites a staged chunk with invalid data.
     pub fn corrupt_chunk(&self, index: usize) {
         if let Some(chunk) = self.engine.lock().staged.get_mut(index) {
@@ -406,7 +420,11 @@
 
     /// Ends the process of the target and starts it again later.
     pub fn crash(&self) {
-        self.engine.lock().crashes += 1;
+        {
+            let mut engine = self.engine.lock();
+            engine.crashes += 1;
+            engine.crash_times.push(Instant::now());
+        }
         if self.is_away.send_replace(true) {
             return;
         }
--- a/standins/src/users/engine.rs
+++ b/standins/src/users/engine.rs
@@ -19,6 +19,8 @@
     /// For each accepted order, the longest time since a chunk was stored or read.
     pub(super) unseen: Vec<Duration>,
     pub(super) crashes: u64,
+    /// When the target crashed.
+    pub(super) crash_times: Vec<Instant>,
 }
 
 impl Engine {
