Add the fields that placement under overload needs

Homes of routes and accounts, cold starts of services and targets, details of an engine's pass, and what a slot request must say for admission control get their types and wire tags.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -140,6 +140,9 @@
     pub public: bool,
     /// Services among which requests are split by weight; at least one.
     pub split: Vec<WeightedService>,
+    /// Regions that may serve the requests, sorted; `None` if any may.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub homes: Option<Vec<String>>,
 }
 
 /// Service with its share of a route's requests.
@@ -167,6 +170,9 @@
     pub name: String,
     /// Priority that overrides the route's.
     pub priority: Option<u8>,
+    /// Regions that may serve the account's requests, sorted; `None` if any may.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub homes: Option<Vec<String>>,
 }
 
 /// A group of targets, or the origin of weights.
@@ -178,6 +184,18 @@
     pub engine: Option<Engine>,
     /// Origin of weights, if the service is one.
     pub origin: Option<Origin>,
+    /// Limit of its targets after a start; `None` if they need none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdStart>,
+}
+
+/// What the targets of a service take while they are cold.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ColdStart {
+    /// Time for which a target is cold after its start.
+    pub time: Duration,
+    /// Requests per second that a cold target takes from all gateways together.
+    pub rate: f64,
 }
 
 /// Server from which hosts first fetch new weights.
@@ -190,7 +208,7 @@
 }
 
 /// Capacity and timing of a model engine.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Engine {
     /// Maximum number of concurrent requests.
     pub slots: u32,
@@ -210,6 +228,18 @@
     pub mean_output: f64,
     /// Names of the models that the engine can load.
     pub models: Vec<String>,
+    /// Time of a decoding step for each 1,000 tokens of context of a running request.
+    #[serde(default)]
+    pub per_context: Duration,
+    /// Time to attend to a million pairs of a prompt token and an earlier one.
+    #[serde(default)]
+    pub per_pairs: Duration,
+    /// Maximum number of prompt tokens read in one step; 0 if unknown.
+    #[serde(default)]
+    pub step_tokens: u32,
+    /// Decoding steps in one pass, between which the engine admits no prompt; 0 if unknown.
+    #[serde(default)]
+    pub pass_steps: u32,
 }
 
 impl Engine {
@@ -227,7 +257,7 @@
     ///     prefill_rate: 20_000.0,
     ///     mean_prompt: 1_000.0,
     ///     mean_output: 100.0,
-    ///     models: Vec::new(),
+    ///     ..Engine::default()
     /// };
     /// // 100 decoding steps of 7 ms plus the prefill of ten prompts, 50 ms each.
     /// assert_eq!(engine.slot_time().as_millis(), 1_200);
@@ -275,6 +305,9 @@
     /// Version of the weights that it holds completely; `None` without an engine or
     /// complete weights.
     pub weights: Option<u64>,
+    /// Time for which it was still cold when it registered.
+    #[serde(default, rename = "cold")]
+    pub cold_left: Duration,
 }
 
 /// Version of a model's weights that the operator released.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -44,6 +44,7 @@
 mod limits;
 mod notices;
 mod probe;
+mod scope;
 mod server;
 mod source;
 
--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -117,6 +117,12 @@
     pub objective: Duration,
     /// Prompt length, tokens.
     pub prompt_tokens: u32,
+    /// Expected length of the answer, tokens.
+    pub output_tokens: u32,
+    /// Time until the caller's deadline.
+    pub left: Duration,
+    /// Whether the caller comes back after a refusal.
+    pub is_returning: bool,
     /// Whether the host refuses unless the request can run almost at once.
     pub immediate_only: bool,
     /// What the target said of its rate limit.
@@ -194,13 +200,16 @@
         request_id: u64,
         criteria: &SlotCriteria,
     ) -> Option<SlotReply> {
-        let objective = criteria.objective.as_millis();
+        let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
         let request = SlotRequest {
             gateway_id: self.gateway_id,
             request_id,
             priority: criteria.priority.into(),
-            objective_ms: u32::try_from(objective).unwrap_or(u32::MAX),
+            objective_ms: millis(criteria.objective),
             prompt_tokens: criteria.prompt_tokens,
+            output_tokens: criteria.output_tokens,
+            left_ms: millis(criteria.left),
+            is_returning: criteria.is_returning,
             immediate_only: criteria.immediate_only,
             limit: criteria.limit,
             lifetime: criteria.lifetime,
@@ -338,6 +347,8 @@
             wait: Duration::from_millis(state.wait_ms.into()),
             weights: state.weights,
             is_open: state.is_open,
+            prefill: Duration::from_millis(state.prefill_ms.into()),
+            cold: Duration::from_millis(state.cold_ms.into()),
             received: self.clock.now(),
         };
         let previous = pool.get(key).and_then(|e| e.state);
--- a/src/gateway/agents_test.rs
+++ b/src/gateway/agents_test.rs
@@ -11,6 +11,9 @@
 const TIMEOUT: Duration = Duration::from_secs(20);
 
 const CRITERIA: SlotCriteria = SlotCriteria {
+    output_tokens: 0,
+    left: Duration::ZERO,
+    is_returning: false,
     priority: 1,
     objective: Duration::from_millis(400),
     prompt_tokens: 1,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -152,6 +152,7 @@
         trace: &Mutex<Trace>,
     ) -> Result<SlotGuard<C>, PlacementError> {
         let min_version = self.required_version(call, self.clock.now());
+        let scope = self.scope(call);
         let tried = trace.lock().tried.clone();
         let mut refused: Vec<TargetKey> = tried.clone();
         let mut attempts = 0;
@@ -166,6 +167,7 @@
                 excluded: if immediate_only { &refused } else { &tried },
                 min_version,
                 data_center: &self.data_center,
+                scope: &scope,
             };
             let Some(selection) = self.select_target(&needs, now) else {
                 if attempts > 0 && attempts < MAX_SLOT_REQUESTS - 1 {
@@ -209,6 +211,9 @@
                 priority: call.priority,
                 objective: call.route().objective,
                 prompt_tokens: call.caller_headers.prompt_tokens,
+                output_tokens: call.caller_headers.output_tokens,
+                left: call.deadline.saturating_duration_since(now),
+                is_returning: false,
                 immediate_only,
                 limit,
                 lifetime: selection.lifetime,
@@ -332,6 +337,7 @@
             excluded: &trace.lock().tried,
             min_version: self.required_version(call, now),
             data_center: &self.data_center,
+            scope: &self.scope(call),
         };
         let limit = if self.pool.lock().has_choice(&needs, now) {
             now + CONNECT_TIMEOUT
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -105,6 +105,9 @@
             objective: Duration::from_millis(request.objective_ms.into()),
             prompt_tokens: request.prompt_tokens,
             immediate_only: request.immediate_only,
+            output_tokens: request.output_tokens,
+            left: Duration::from_millis(request.left_ms.into()),
+            is_returning: request.is_returning,
         };
         let decision = self.slots.lock().request(&slot_request, now);
         let is_granted = decision == Decision::Granted;
@@ -149,6 +152,8 @@
             sequence: self.next_sequence(),
             target_port: self.target.port().into(),
             process: self.process,
+            prefill_ms: 0,
+            cold_ms: 0,
         }
     }
 
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -89,6 +89,12 @@
     /// Random identifier of the host process, new at every start.
     #[prost(fixed64, tag = "7")]
     pub process: u64,
+    /// Time until the prompts that the target has are read, milliseconds.
+    #[prost(uint32, tag = "8")]
+    pub prefill_ms: u32,
+    /// Time for which the target is still cold, milliseconds.
+    #[prost(uint32, tag = "9")]
+    pub cold_ms: u32,
 }
 
 /// Request of a gateway for a slot.
@@ -118,6 +124,15 @@
     /// Hash of the target's lifetime.
     #[prost(fixed64, tag = "8")]
     pub lifetime: u64,
+    /// Expected length of the answer, tokens.
+    #[prost(uint32, tag = "9")]
+    pub output_tokens: u32,
+    /// Time until the caller's deadline, milliseconds; 0 if unknown.
+    #[prost(uint32, tag = "10")]
+    pub left_ms: u32,
+    /// Whether the caller comes back after a refusal.
+    #[prost(bool, tag = "11")]
+    pub is_returning: bool,
 }
 
 /// What an answer of a target said of its rate limit.
--- a/src/place.rs
+++ b/src/place.rs
@@ -11,6 +11,7 @@
 pub mod patience;
 pub mod pool;
 pub mod quarantine;
+pub mod scope;
 pub mod shutdown;
 pub mod slots;
 pub mod witness;
--- a/src/place/pool.rs
+++ b/src/place/pool.rs
@@ -11,6 +11,7 @@
 use crate::place::death::Lifetime;
 use crate::place::eligibility::{Eligibility, Pause, Verdict};
 use crate::place::limit::Notice;
+use crate::place::scope::Scope;
 
 new_key_type! {
     /// Key of a target in the pool.
@@ -55,6 +56,10 @@
     pub weights: u64,
     /// Whether the target accepts new requests.
     pub is_open: bool,
+    /// Time until the prompts that the target has are read.
+    pub prefill: Duration,
+    /// Time for which the target is still cold.
+    pub cold: Duration,
     /// When the report arrived.
     pub received: Instant,
 }
@@ -120,6 +125,8 @@
     pub min_version: Option<u64>,
     /// Data centre of the gateway.
     pub data_center: &'a str,
+    /// Data centres whose targets may serve the request.
+    pub scope: &'a Scope,
 }
 
 /// All targets known to a gateway.
@@ -404,9 +411,11 @@
     }
 }
 
-/// Whether the target serves the service and does not leave.
+/// Whether the target serves the service, may serve the request and does not leave.
 fn is_candidate(entry: &Entry, needs: &Requirements<'_>) -> bool {
-    entry.target.service == needs.service && entry.target.phase == Phase::Ready
+    entry.target.service == needs.service
+        && entry.target.phase == Phase::Ready
+        && needs.scope.allows(&entry.target.data_center)
 }
 
 /// Whether the target can take a request, as far as the gateway knows, if it may be asked.
--- a/src/place/slots.rs
+++ b/src/place/slots.rs
@@ -57,6 +57,12 @@
     /// Whether to refuse unless the request can run almost at once, because the gateway can
     /// still try other targets.
     pub immediate_only: bool,
+    /// Expected length of the answer, tokens.
+    pub output_tokens: u32,
+    /// Time until the caller's deadline; zero if unknown.
+    pub left: Duration,
+    /// Whether the caller comes back after a refusal.
+    pub is_returning: bool,
 }
 
 /// Answer to a [`SlotRequest`].
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -64,6 +64,14 @@
     slots: u32,
     step_ms: f64,
     per_seq_ms: f64,
+    #[serde(default)]
+    context_per_k: f64,
+    #[serde(default)]
+    pairs_per_m: f64,
+    #[serde(default)]
+    chunk: u32,
+    #[serde(default)]
+    stride: u32,
     read_per_s: f64,
     usual: Option<WireUsual>,
     #[serde(default)]
@@ -153,6 +161,7 @@
         accounts.push(Account {
             name: account.name,
             priority: account.priority,
+            homes: None,
         });
     }
     keys.sort_by(|a, b| a.text.cmp(&b.text));
@@ -209,6 +218,7 @@
         max_attempts: wire.max_attempts.unwrap_or(1),
         public: wire.public,
         split: split.unwrap_or_else(|| single.into_iter().collect()),
+        homes: None,
     }
 }
 
@@ -227,6 +237,10 @@
         mean_prompt: e.usual.as_ref().map_or(0.0, |u| u.prompt),
         mean_output: e.usual.as_ref().map_or(0.0, |u| u.answer),
         models: e.models.iter().map(|m| m.name.clone()).collect(),
+        per_context: millis(e.context_per_k),
+        per_pairs: millis(e.pairs_per_m),
+        step_tokens: e.chunk,
+        pass_steps: e.stride,
     });
     let origin = wire.origin.map(|address| Origin {
         address,
@@ -236,6 +250,7 @@
         name: wire.name,
         engine,
         origin,
+        cold: None,
     }
 }
 
@@ -277,6 +292,7 @@
         started: wire.born.unwrap_or(0),
         has_engine: wire.models.is_some(),
         weights: complete_version(&wire.models.unwrap_or_default(), wire.layers.as_ref()),
+        cold_left: Duration::ZERO,
     })
 }
 
--- a/standins/tests/pausing_hosts.rs
+++ b/standins/tests/pausing_hosts.rs
@@ -58,6 +58,9 @@
             immediate_only,
             limit: None,
             lifetime: 1,
+            output_tokens: 0,
+            left_ms: 0,
+            is_returning: false,
         }
     }
 
--- a/tests/eligibility.rs
+++ b/tests/eligibility.rs
@@ -9,12 +9,14 @@
 use corianderramp::place::eligibility::{Cause, Eligibility, Pause, Verdict};
 use corianderramp::place::limit::Notice;
 use corianderramp::place::pool::{Pool, Requirements, TargetKey};
+use corianderramp::place::scope::Scope;
 
 const NEEDS: Requirements<'static> = Requirements {
     service: "desk",
     excluded: &[],
     min_version: None,
     data_center: "a",
+    scope: &Scope::ANY,
 };
 
 fn ms(ms: u64) -> Duration {
@@ -32,6 +34,7 @@
         started,
         has_engine: false,
         weights: None,
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
--- a/tests/load_model.rs
+++ b/tests/load_model.rs
@@ -143,6 +143,7 @@
             started: 1,
             has_engine: true,
             weights: Some(1),
+            cold_left: std::time::Duration::ZERO,
         },
     });
     catalog.replace_targets(1, targets.collect());
@@ -202,6 +203,8 @@
             wait: table.expected_wait(now),
             weights: 1,
             is_open: true,
+            prefill: Duration::ZERO,
+            cold: Duration::ZERO,
             received: now,
         };
         self.pools[gateway].update_state(self.keys[gateway][server], state);
@@ -232,6 +235,7 @@
                 excluded: if immediate_only { &refused } else { &[] },
                 min_version: Some(1),
                 data_center: ["a", "b", "c"][gateway % 3],
+                scope: &corianderramp::place::scope::Scope::ANY,
             };
             let rng = &mut self.rng;
             let key = self.pools[gateway].choose(&needs, now, || rng.random())?;
@@ -245,6 +249,9 @@
                 objective: OBJECTIVE,
                 prompt_tokens: prompt,
                 immediate_only,
+                output_tokens: 0,
+                left: Duration::ZERO,
+                is_returning: false,
             };
             let decision = self.tables[server].request(&request, now);
             self.report_state(gateway, server, now);
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -26,6 +26,9 @@
         objective: OBJECTIVE,
         prompt_tokens: prompt,
         immediate_only,
+        output_tokens: 0,
+        left: Duration::ZERO,
+        is_returning: false,
     }
 }
 
--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -209,6 +209,7 @@
             started: 1,
             has_engine: false,
             weights: None,
+            cold_left: std::time::Duration::ZERO,
         },
     }
 }
@@ -233,6 +234,7 @@
         excluded: &[],
         min_version: None,
         data_center: "a",
+        scope: &corianderramp::place::scope::Scope::ANY,
     };
     assert!(pool.record_limit(keys[0], notice(Some(0.5), now)));
     pool.record_limited(keys[0], now + ms(2_000));
--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -38,6 +38,7 @@
             started: 1,
             has_engine: true,
             weights: None,
+            cold_left: std::time::Duration::ZERO,
         },
     }
 }
--- a/tests/slots_after_silence.rs
+++ b/tests/slots_after_silence.rs
@@ -16,6 +16,9 @@
         objective: Duration::from_millis(400),
         prompt_tokens: 1,
         immediate_only: true,
+        output_tokens: 0,
+        left: Duration::ZERO,
+        is_returning: false,
     }
 }
 
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -22,6 +22,7 @@
         started,
         has_engine: false,
         weights: None,
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
--- a/tests/target_deaths.rs
+++ b/tests/target_deaths.rs
@@ -31,6 +31,7 @@
         started,
         has_engine: false,
         weights: None,
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
@@ -300,6 +301,8 @@
             wait: Duration::ZERO,
             weights: 1,
             is_open: true,
+            prefill: Duration::ZERO,
+            cold: Duration::ZERO,
             received: now,
         };
         pool.update_state(key, state);
