--- a/src/place.rs
+++ b/src/place.rs
@@ -4,6 +4,7 @@
 pub mod backoff;
 pub mod death;
 pub mod eligibility;
+pub mod forecast;
 pub mod handover;
 pub mod idle;
 pub mod limit;
