Keep a stream open while its target sends only comments

Comments are no event, so reading stops at the bound and the target counts as silent, which ends the stream at the limit.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -37,7 +37,7 @@
     /// long. Comments are returned only together with an event.
     pub fn push(&mut self, data: &Bytes) -> Option<Bytes> {
         self.buffer.extend_from_slice(data);
-        if self.buffer.len() > MAX_EVENT_BYTES {
+        if self.buffer.len() - self.comments > MAX_EVENT_BYTES {
             return None;
         }
         let end = events_end(&self.buffer, self.scanned);
@@ -64,6 +64,12 @@
         self.buffer.len() == self.comments
     }
 
+    /// Returns whether so many comments came without an event that no more may be buffered.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.comments > MAX_EVENT_BYTES
+    }
+
     /// Takes the comments that came after the last event, at the end of the stream.
     pub fn take_comments(&mut self) -> Bytes {
         let comments = self.buffer.split_to(self.comments).freeze();
--- a/src/gateway/events_test.rs
+++ b/src/gateway/events_test.rs
@@ -1,7 +1,7 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 
-use super::Splitter;
+use super::{MAX_EVENT_BYTES, Splitter};
 
 fn stream(events: &[String]) -> Vec<u8> {
     let lines = events.iter().enumerate();
@@ -66,3 +66,17 @@
     assert_eq!(splitter.take_comments().as_ref(), b": end\n\n");
     assert!(splitter.is_complete());
 }
+
+/// Guards against a stream that ends before its caller's limit because its target sends comments
+/// without a pause: they counted as one event that is too long.
+#[test]
+fn comments_without_an_event_are_no_event_that_is_too_long() {
+    let mut splitter = Splitter::default();
+    let comments = Bytes::from(": wait\n\n".repeat(16 * 1024));
+    let mut pushes = 0;
+    while !splitter.is_full() {
+        assert!(splitter.push(&comments).is_some_and(|e| e.is_empty()));
+        pushes += 1;
+    }
+    assert!(pushes * comments.len() <= MAX_EVENT_BYTES + comments.len());
+}
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -1,5 +1,6 @@
 //! Reads the answer of one target: complete events of a stream, or a complete body.
 
+use std::future;
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
@@ -68,6 +69,11 @@
     /// Fails when the stream is interrupted or an event is too long.
     pub async fn read(&mut self) -> Result<Option<Bytes>, ReadError> {
         loop {
+            // A target that sends only comments is silent until the caller's time ends. Reading on
+            // would need memory without limit, and an error would end the stream early.
+            if self.splitter.is_full() {
+                future::pending::<()>().await;
+            }
             let frame = match self.response.body.frame().await {
                 Some(Ok(frame)) => frame,
                 None if self.splitter.is_complete() => {
