Follow evacuations of data centres

An operator who evacuates a data centre had no way to tell the gateways. Objects of the kind evacuations are now a topic of the catalog, followed only with the setting bounds.evacuation_ms, passed on by relays and part of the scope of each request, which is checked again before it is sent.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -11,35 +11,14 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::catalog::evacuations::Evacuation;
 use crate::fleet::{Config, Release, Target, revision};
 
 mod copy;
+pub mod evacuations;
+mod topic;
 
-/// Kinds of objects that a node watches.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub enum Topic {
-    /// Configuration.
-    Config,
-    /// Registered targets.
-    Targets,
-    /// Releases of weights.
-    Releases,
-}
-
-impl Topic {
-    /// All topics.
-    pub const ALL: [Self; 3] = [Self::Config, Self::Targets, Self::Releases];
-
-    /// Name for logs and metrics.
-    #[must_use]
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Config => "config",
-            Self::Targets => "targets",
-            Self::Releases => "releases",
-        }
-    }
-}
+pub use topic::Topic;
 
 /// Value of a store object with its name and revision.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -59,7 +38,7 @@
     }
 }
 
-/// Configuration, targets and releases that this node knows.
+/// Configuration, targets, releases and evacuations that this node knows.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
     /// Newest configuration.
@@ -84,6 +63,10 @@
     pub releases: Vec<Entry<ReleaseHistory>>,
     /// Store revision up to which `releases` is complete.
     pub releases_revision: u64,
+    /// Evacuated data centres, sorted by name.
+    pub evacuations: Vec<Evacuation>,
+    /// Store revision up to which `evacuations` is complete; 0 if unknown.
+    pub evacuations_revision: u64,
 }
 
 /// Removal of an object from the store.
@@ -482,6 +465,7 @@
             Topic::Config => self.config_revision,
             Topic::Targets => self.targets_revision,
             Topic::Releases => self.releases_revision,
+            Topic::Evacuations => self.evacuations_revision,
         }
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -45,6 +45,8 @@
     Full,
     /// The request crashes targets.
     CrashesTargets,
+    /// The data centres of all targets that could serve the request are evacuated.
+    Evacuated,
     /// The rate limits of all targets leave no room; the time until one does.
     RateLimited(Duration),
     /// All targets want no requests; the time until one does.
@@ -152,13 +154,14 @@
         trace: &Mutex<Trace>,
     ) -> Result<SlotGuard<C>, PlacementError> {
         let min_version = self.required_version(call, self.clock.now());
-        let scope = self.scope(call);
         let tried = trace.lock().tried.clone();
         let mut refused: Vec<TargetKey> = tried.clone();
         let mut attempts = 0;
         let mut denials = 0;
         loop {
             let now = self.clock.now();
+            // It may change while a host answers.
+            let scope = self.scope(call);
             // The last slot request accepts a wait and may go to a target that refused before:
             // their replies carried their current waits.
             let immediate_only = attempts < MAX_SLOT_REQUESTS - 1;
@@ -266,6 +269,9 @@
         let Some((id, weights)) = self.target_identity(slot.key, call, now) else {
             return Err(SendError::NotRun("target left"));
         };
+        if !self.is_in_scope(slot.key, call) {
+            return Err(SendError::NotRun("target out of scope"));
+        }
         let mut connection = match net::Connection::open(slot.address, limit).await {
             Ok(connection) => connection,
             Err(e) => {
@@ -275,6 +281,9 @@
                 return Err(SendError::NotRun("no connection"));
             }
         };
+        if !self.is_in_scope(slot.key, call) {
+            return Err(SendError::NotRun("target out of scope"));
+        }
         let end = if call.is_stream() {
             call.end
         } else {
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -206,6 +206,8 @@
 
 /// Outcome when no target serves the request.
 const NO_TARGET: &str = "no target";
+/// Outcome when no target outside of evacuated data centres serves the request.
+const EVACUATED: &str = "evacuated";
 /// Outcome of a stream whose target failed, with no other one to continue it.
 pub(super) const BROKEN_OFF: &str = "broken off";
 /// Outcome of a stream whose target was silent until the caller's time ended.
@@ -263,6 +265,9 @@
         let catalog = self.catalog.snapshot();
         let config = catalog.config.clone().ok_or(NO_CONFIG)?;
         record.config_version = config.version;
+        if !self.knows_evacuations() {
+            return Err(NO_CONFIG);
+        }
         if request::head_bytes(&parts) > config.limits.head_bytes {
             return Err(HEAD_TOO_LARGE);
         }
@@ -371,6 +376,7 @@
         let outcome = match error {
             PlacementError::CrashesTargets => return CRASHES_TARGETS,
             PlacementError::Full => "no place",
+            PlacementError::Evacuated => EVACUATED,
             PlacementError::RateLimited(_) => "rate limited",
             PlacementError::AskedToWait(_) => "asked to wait",
             PlacementError::NoTarget if trace.sends > 0 => "declined",
@@ -380,7 +386,7 @@
         let draw = rand::rng().random();
         let mut refusals = self.refusals.lock();
         refusals.record(false, now);
-        let wait = if outcome == NO_TARGET {
+        let wait = if [NO_TARGET, EVACUATED].contains(&outcome) {
             RefusalRate::retry_after_outage(left, draw)
         } else {
             refusals.retry_after(left, draw)
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -54,7 +54,7 @@
     }
 
     /// Returns why a request is refused after its last attempt: all targets that could take it may
-    /// be in a pause.
+    /// be evacuated or in a pause.
     pub(super) fn refusal_cause(
         &self,
         call: &Call,
@@ -72,6 +72,9 @@
             data_center: &self.data_center,
             scope: &self.scope(call),
         };
+        if self.is_evacuated(&needs, now) {
+            return PlacementError::Evacuated;
+        }
         let pause = self.pool.lock().pause(&needs, now);
         pause.map_or(error, PlacementError::from)
     }
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -61,9 +61,10 @@
 
 impl<C: Clock> Gateway<C> {
     /// Returns whether the gateway can serve new connections. It can't during shutdown,
-    /// without a configuration, or without contact to both the store and all host agents.
+    /// without a configuration, without a state of the evacuations, or without contact to both the store and all host agents.
     pub(super) fn is_ready(&self) -> bool {
-        if self.is_stopping() || self.catalog.snapshot().config.is_none() {
+        let has_config = self.catalog.snapshot().config.is_some();
+        if self.is_stopping() || !has_config || !self.knows_evacuations() {
             return false;
         }
         let now = self.clock.now();
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,6 +9,7 @@
 use crate::fleet::catalog::Catalog;
 
 pub mod eras;
+pub mod evacuations;
 pub mod follow;
 pub mod freshness;
 pub mod message;
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -16,7 +16,7 @@
 use crate::node::freshness::{Cadence, StoreContact};
 use crate::node::relay::Mode;
 use crate::node::settings::Settings;
-use crate::node::{SharedCatalog, eras, relay};
+use crate::node::{SharedCatalog, eras, evacuations, relay};
 use crate::platform::decode;
 use crate::platform::store::{Client, Error, Event, List, Object};
 
@@ -43,7 +43,7 @@
 pub fn start<C: Clock>(settings: &Settings, catalog: &SharedCatalog, clock: &C) -> StoreContact {
     let contact = StoreContact::new(&settings.bounds);
     let (mode, current) = watch::channel(Mode::Relayed);
-    for topic in Topic::ALL {
+    for topic in contact.topics() {
         tokio::spawn(run(
             topic,
             Cadence::of(topic, &settings.bounds),
@@ -61,6 +61,10 @@
         limit: settings.bounds.config_limit(),
     };
     tokio::spawn(eras::run(catalog.clone()));
+    if contact.follows(Topic::Evacuations) {
+        let centers = settings.centers.keys().cloned().collect();
+        tokio::spawn(evacuations::run(catalog.clone(), centers));
+    }
     tokio::spawn(find_relays(
         settings.store,
         catalog.clone(),
@@ -182,15 +186,16 @@
         rejected: BTreeSet::new(),
     };
     loop {
-        let current = mode.wait_for(|mode| mode.is_direct()).await.map(|m| *m);
+        let current = mode.wait_for(|m| m.follows(topic)).await.map(|m| *m);
         let precedence = match current {
             Ok(Mode::Direct { precedence }) => precedence,
+            Ok(Mode::Partial) => Duration::ZERO,
             Ok(Mode::Relayed) => continue,
             Err(_) => return,
         };
         tokio::select! {
             () = follower.follow(store, precedence) => {}
-            _ = mode.wait_for(|mode| !mode.is_direct()) => {}
+            _ = mode.wait_for(|mode| !mode.follows(topic)) => {}
         }
     }
 }
@@ -199,7 +204,7 @@
 fn batch_delay(topic: Topic) -> Duration {
     match topic {
         Topic::Targets => TARGET_DELAY,
-        Topic::Config | Topic::Releases => CHANGE_DELAY,
+        Topic::Config | Topic::Releases | Topic::Evacuations => CHANGE_DELAY,
     }
 }
 
@@ -345,13 +350,22 @@
         }
         let changes = client.watch(self.topic, revision, wait, grace).await?;
         self.has_changed = !changes.events.is_empty();
+        let next = changes.revision.max(revision);
+        if self.topic == Topic::Evacuations {
+            evacuations::apply_changes(&self.catalog, changes);
+            return Ok(next);
+        }
         for event in changes.events {
             self.apply(event, Duration::ZERO);
         }
-        Ok(changes.revision.max(revision))
+        Ok(next)
     }
 
     fn apply_list(&mut self, list: List) {
+        if self.topic == Topic::Evacuations {
+            evacuations::apply_list(&self.catalog, list);
+            return;
+        }
         if self.topic != Topic::Targets {
             for object in list.items {
                 let removed = false;
@@ -418,6 +432,8 @@
                 Err(e) => self.reject(&name, revision, &e),
             },
             Topic::Targets => self.apply_target(event),
+            // Applied as a whole.
+            Topic::Evacuations => {}
             Topic::Releases if event.removed => {
                 let revision = revision::number(revision);
                 warn!(topic = "releases", name = name.as_str(), revision; "removal ignored");
--- a/src/node/freshness.rs
+++ b/src/node/freshness.rs
@@ -9,7 +9,7 @@
 
 use parking_lot::Mutex;
 
-use crate::fleet::catalog::Topic;
+use crate::fleet::catalog::{Catalog, Topic};
 use crate::node::settings::Bounds;
 
 /// How often the store must confirm that a node has the newest state of a topic.
@@ -32,17 +32,26 @@
     /// use corianderramp::node::freshness::Cadence;
     /// use corianderramp::node::settings::Bounds;
     ///
-    /// let bounds = Bounds { stop_ms: 8_000, weights_ms: 8_000, config_ms: 4_000 };
+    /// let bounds = Bounds {
+    ///     stop_ms: 8_000,
+    ///     weights_ms: 8_000,
+    ///     config_ms: 4_000,
+    ///     evacuation_ms: None,
+    /// };
     /// let cadence = Cadence::of(Topic::Config, &bounds);
     /// assert_eq!(cadence.limit(), Duration::from_secs(3));
     /// ```
     #[must_use]
     pub fn of(topic: Topic, bounds: &Bounds) -> Self {
-        let limit = bounds.config_limit();
+        let limit = match topic {
+            Topic::Evacuations => bounds.evacuation_limit(),
+            _ => None,
+        };
+        let limit = limit.unwrap_or(bounds.config_limit());
         let interval = limit / 2;
         Self {
             interval: match topic {
-                Topic::Config | Topic::Targets => interval,
+                Topic::Config | Topic::Targets | Topic::Evacuations => interval,
                 Topic::Releases => interval.max(bounds.weights_limit() / 4),
             },
             grace: limit / 4,
@@ -59,6 +68,8 @@
 /// Times of the last answers of the store, shared by all topics.
 #[derive(Clone, Debug)]
 pub struct StoreContact {
+    /// Whether this node follows evacuations.
+    has_evacuations: bool,
     /// Longest time between two answers for each topic, in the order of [`Topic::ALL`].
     limits: [Duration; Topic::ALL.len()],
     /// Last answer to a call of this node.
@@ -76,6 +87,7 @@
     #[must_use]
     pub fn new(bounds: &Bounds) -> Self {
         Self {
+            has_evacuations: bounds.evacuation_ms.is_some(),
             limits: Topic::ALL.map(|t| Cadence::of(t, bounds).limit()),
             last: Arc::default(),
             relayed: Arc::default(),
@@ -84,6 +96,25 @@
         }
     }
 
+    /// Whether this node follows `topic`. Each call to the store is priced, so evacuations are
+    /// followed only in deployments that have them.
+    #[must_use]
+    pub fn follows(&self, topic: Topic) -> bool {
+        topic != Topic::Evacuations || self.has_evacuations
+    }
+
+    /// Topics that this node follows.
+    pub fn topics(&self) -> impl Iterator<Item = Topic> {
+        let topics = Topic::ALL.into_iter();
+        topics.filter(|t| self.follows(*t))
+    }
+
+    /// Whether `catalog` has a state of each topic that this node follows.
+    #[must_use]
+    pub fn is_complete(&self, catalog: &Catalog) -> bool {
+        self.topics().all(|t| catalog.revision(t) > 0)
+    }
+
     /// Records that the store answered a call of this node.
     pub fn record(&self, now: Instant) {
         *self.last.lock() = Some(now);
@@ -108,9 +139,9 @@
     pub fn age(&self, now: Instant) -> Option<Duration> {
         let last = (*self.last.lock()).max(*self.relayed.lock());
         let silence = now.saturating_duration_since(last?);
-        let overdue = Topic::ALL.iter().filter_map(|topic| {
-            let age = self.topic_age(*topic, now)?;
-            Some(age.saturating_sub(self.limits[*topic as usize]))
+        let overdue = self.topics().filter_map(|topic| {
+            let age = self.topic_age(topic, now)?;
+            Some(age.saturating_sub(self.limits[topic as usize]))
         });
         Some(overdue.max().unwrap_or_default().max(silence))
     }
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -116,14 +116,18 @@
     query: &str,
     clock: &impl Clock,
 ) -> Option<Bytes> {
-    let known = codec::Known::parse(query)?;
+    let mut known = codec::Known::parse(query)?;
+    let has_evacuations = contact.follows(Topic::Evacuations);
+    if !has_evacuations {
+        known.evacuations = None;
+    }
     let asked = clock.now();
     let mut updates = catalog.subscribe();
     let changed = updates.wait_for(|catalog| known.is_outdated(catalog));
     // On timeout the response has no topics but still says how fresh the catalog is.
     let _ = time::timeout(LONG_POLL_TIMEOUT, changed).await;
     let snapshot = catalog.snapshot();
-    if Topic::ALL.iter().any(|t| snapshot.revision(*t) == 0) {
+    if !contact.is_complete(&snapshot) {
         return None;
     }
     let now = clock.now();
@@ -137,6 +141,7 @@
         parts: parts.ok()?,
         held_ms: codec::millis(now.saturating_duration_since(asked)),
         era: snapshot.era(),
+        has_evacuations,
     };
     Some(response.encode_to_vec().into())
 }
@@ -172,6 +177,8 @@
 pub enum Mode {
     /// From a relay.
     Relayed,
+    /// From a relay of an earlier version, which has no evacuations; these from the store itself.
+    Partial,
     /// From the store itself.
     Direct {
         /// Time that the relays get, once the store answers again after an outage, before this
@@ -186,6 +193,12 @@
     pub fn is_direct(self) -> bool {
         matches!(self, Self::Direct { .. })
     }
+
+    /// Whether the node follows `topic` at the store itself.
+    #[must_use]
+    pub fn follows(self, topic: Topic) -> bool {
+        self.is_direct() || self == Self::Partial && topic == Topic::Evacuations
+    }
 }
 
 /// Polls the region's relays and sets `mode` to whether this node must follow the store itself, as
@@ -202,6 +215,7 @@
         contact,
         connection: None,
         is_silent: false,
+        lacks_evacuations: false,
         clock,
     };
     // Until the first contact, the relays need time to list the catalog themselves.
@@ -219,7 +233,12 @@
         let is_direct = mode.borrow().is_direct();
         let asked = follower.clock.now();
         if follower.poll_any(&upstreams, is_direct).await {
-            set_mode(&mode, Mode::Relayed, "following a relay");
+            if follower.lacks_evacuations {
+                let reason = "following a relay without evacuations";
+                set_mode(&mode, Mode::Partial, reason);
+            } else {
+                set_mode(&mode, Mode::Relayed, "following a relay");
+            }
             patience_end = follower.clock.now() + region.patience(&relays);
             continue;
         }
@@ -256,6 +275,8 @@
     connection: Option<(SocketAddr, net::Connection)>,
     /// Whether the relays last polled accepted the requests and began no response.
     is_silent: bool,
+    /// Whether this node follows evacuations and the relay last polled does not.
+    lacks_evacuations: bool,
     clock: C,
 }
 
@@ -287,7 +308,12 @@
 
     /// Polls a relay once and applies its response to the catalog.
     async fn poll(&mut self, relay: SocketAddr) -> Result<(), Error> {
-        let query = codec::Known::of(&self.catalog.snapshot()).query();
+        let mut known = codec::Known::of(&self.catalog.snapshot());
+        let has_evacuations = self.contact.follows(Topic::Evacuations);
+        if !has_evacuations {
+            known.evacuations = None;
+        }
+        let query = known.query();
         let mut request = Request::new(Full::default());
         *request.uri_mut() = format!("{PATH}?{query}").parse().unwrap_or_default();
         if let Ok(host) = relay.to_string().parse() {
@@ -330,6 +356,7 @@
             let address = relay;
             return StaleSnafu { address, reason }.fail();
         }
+        self.lacks_evacuations = has_evacuations && !response.has_evacuations;
         self.contact
             .record_relayed(sent.checked_sub(age).unwrap_or(sent));
         Ok(())
--- a/src/node/relay/codec.rs
+++ b/src/node/relay/codec.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
+use crate::fleet::catalog::evacuations::Evacuation;
 use crate::fleet::catalog::{Catalog, Entry, TargetChanges, Topic};
 use crate::fleet::diff::ConfigChange;
 use crate::fleet::{Config, Release, Target, revision};
@@ -46,6 +47,9 @@
     /// Era of the newest state of the store that the relay knows.
     #[prost(uint64, tag = "4")]
     pub era: u64,
+    /// Whether the relay follows evacuations; processes of earlier versions don't.
+    #[prost(bool, tag = "5")]
+    pub has_evacuations: bool,
 }
 
 /// One topic of the catalog.
@@ -65,16 +69,19 @@
     pub base: u64,
 }
 
-/// Revisions of all topics that a follower has, in the order of [`Topic::ALL`].
+/// Revisions of the topics that a follower has.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Known {
-    /// Revisions; 0 for an unknown topic.
+    /// Revisions of configuration, targets and releases; 0 for an unknown topic.
     pub revisions: [u64; 3],
     /// Whether the follower understands changes; processes of earlier versions don't.
     pub takes_changes: bool,
     /// Version of the configuration and sum of the released versions. They order what the store
     /// lacks since it came back from a copy. `None` from processes of earlier versions.
     pub versions: Option<(u64, u64)>,
+    /// Revision of the evacuations; `None` if the follower does not follow them, as processes of
+    /// earlier versions.
+    pub evacuations: Option<u64>,
 }
 
 impl Known {
@@ -82,9 +89,11 @@
     #[must_use]
     pub fn of(catalog: &Catalog) -> Self {
         Self {
-            revisions: Topic::ALL.map(|t| catalog.revision(t)),
+            revisions: [Topic::Config, Topic::Targets, Topic::Releases]
+                .map(|t| catalog.revision(t)),
             takes_changes: true,
             versions: Some((config_version(catalog), catalog.release_sum())),
+            evacuations: Some(catalog.evacuations_revision),
         }
     }
 
@@ -92,9 +101,13 @@
     #[must_use]
     pub fn query(&self) -> String {
         let [config, targets, releases] = self.revisions;
-        match self.versions {
-            Some((version, sum)) => format!("{config},{targets},{releases},1,{version},{sum}"),
-            None => format!("{config},{targets},{releases},1"),
+        let Some((version, sum)) = self.versions else {
+            return format!("{config},{targets},{releases},1");
+        };
+        let query = format!("{config},{targets},{releases},1,{version},{sum}");
+        match self.evacuations {
+            Some(evacuations) => format!("{query},{evacuations}"),
+            None => query,
         }
     }
 
@@ -106,6 +119,8 @@
     /// let known = Known::parse("4,9,2,1,30,5").unwrap();
     /// assert_eq!((known.revisions, known.takes_changes), ([4, 9, 2], true));
     /// assert_eq!(known.versions, Some((30, 5)));
+    /// assert_eq!(known.evacuations, None);
+    /// assert_eq!(Known::parse("4,9,2,1,30,5,8").unwrap().evacuations, Some(8));
     /// assert!(Known::parse("4,9").is_none());
     /// ```
     #[must_use]
@@ -116,6 +131,7 @@
             revisions,
             takes_changes: numbers.next().is_some(),
             versions: numbers.next().flatten().zip(numbers.next().flatten()),
+            evacuations: numbers.next().flatten(),
         })
     }
 
@@ -125,9 +141,20 @@
         Topic::ALL.iter().any(|t| self.lacks(catalog, *t))
     }
 
+    /// Revision of `topic` that the follower has; `None` if it does not follow the topic.
+    fn revision(&self, topic: Topic) -> Option<u64> {
+        match topic {
+            Topic::Evacuations => self.evacuations,
+            _ => self.revisions.get(topic as usize).copied(),
+        }
+    }
+
     /// Whether `catalog` has a newer state of `topic` than the follower.
     fn lacks(&self, catalog: &Catalog, topic: Topic) -> bool {
-        let (revision, known) = (catalog.revision(topic), self.revisions[topic as usize]);
+        let Some(known) = self.revision(topic) else {
+            return false;
+        };
+        let revision = catalog.revision(topic);
         match (topic, self.versions) {
             (Topic::Config, Some((version, _))) => {
                 (config_version(catalog), revision) > (version, known)
@@ -167,10 +194,10 @@
         self.remember(catalog);
         let newer = Topic::ALL
             .into_iter()
-            .zip(known.revisions)
-            .filter(|(topic, _)| known.lacks(catalog, *topic));
+            .filter(|topic| known.lacks(catalog, *topic));
         newer
-            .map(|(topic, revision)| {
+            .map(|topic| {
+                let revision = known.revision(topic).unwrap_or(0);
                 let base = if known.takes_changes { revision } else { 0 };
                 self.part(catalog, topic, base, now)
             })
@@ -215,6 +242,8 @@
                 Some(changes) => part(catalog, topic, base, &changes)?,
                 None => part(catalog, topic, 0, &catalog.confirmed_targets())?,
             },
+            // A few names: always whole, so that no follower depends on what it had.
+            Topic::Evacuations => part(catalog, topic, 0, &catalog.confirmed_evacuations())?,
             _ => match self.config_change(catalog, base) {
                 Some(change) => part(catalog, topic, base, &change)?,
                 None => part(catalog, topic, 0, &catalog.config.as_deref())?,
@@ -341,6 +370,10 @@
             }
             catalog.update(|c| c.advance_releases(revision));
         }
+        Some(Topic::Evacuations) => {
+            let list: Vec<Evacuation> = decode(&part.data)?;
+            catalog.update(|c| c.replace_evacuations(revision, list));
+        }
         None => {}
     }
     Ok(())
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -94,6 +94,10 @@
     /// milliseconds.
     #[serde(default = "default_config_ms")]
     pub config_ms: u64,
+    /// Time after an evacuation of a data centre within which it must be in force,
+    /// milliseconds. Without it, evacuations are not followed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuation_ms: Option<u64>,
 }
 
 /// Time for a change of the configuration in deployments that state none, milliseconds.
@@ -108,6 +112,12 @@
         Duration::from_millis(self.config_ms)
     }
 
+    /// Time after an evacuation within which it must be in force; `None` if they are not followed.
+    #[must_use]
+    pub fn evacuation_limit(&self) -> Option<Duration> {
+        self.evacuation_ms.map(Duration::from_millis)
+    }
+
     /// Time from SIGTERM to SIGKILL.
     #[must_use]
     pub fn stop_limit(&self) -> Duration {
@@ -153,6 +163,9 @@
         if self.bounds.config_ms == 0 {
             return Err(("bounds.config_ms", "must be greater than 0"));
         }
+        if self.bounds.evacuation_ms == Some(0) {
+            return Err(("bounds.evacuation_ms", "must be greater than 0"));
+        }
         if self.link_mbps.is_nan() || self.link_mbps <= 0.0 {
             return Err(("link_mbps", "must be greater than 0"));
         }
--- a/src/place/scope.rs
+++ b/src/place/scope.rs
@@ -40,6 +40,29 @@
         }
     }
 
+    /// Returns whether some data centre is evacuated.
+    #[must_use]
+    pub fn has_evacuations(&self) -> bool {
+        !self.evacuated.is_empty()
+    }
+
+    /// Returns the scope that this would be if no data centre were evacuated.
+    ///
+    /// ```
+    /// use corianderramp::place::scope::Scope;
+    ///
+    /// let scope = Scope::new(Some(vec!["a".to_owned()]), vec!["a".to_owned()]);
+    /// assert!(scope.without_evacuations().allows("a"));
+    /// assert!(!scope.without_evacuations().allows("b"));
+    /// ```
+    #[must_use]
+    pub fn without_evacuations(&self) -> Self {
+        Self {
+            permitted: self.permitted.clone(),
+            evacuated: Vec::new(),
+        }
+    }
+
     /// Returns whether targets in `data_center` may serve the request.
     #[must_use]
     pub fn allows(&self, data_center: &str) -> bool {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -151,6 +151,7 @@
         Topic::Config => "config",
         Topic::Targets => "servers",
         Topic::Releases => "versions",
+        Topic::Evacuations => "evacuations",
     }
 }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -62,12 +62,14 @@
 const STORE_ERA: &str = "corianderramp_store_era";
 /// Gauge of the store revision up to which a topic is known.
 const CATALOG_REVISION: &str = "corianderramp_catalog_revision";
+/// Gauge of the number of evacuated data centres.
+const EVACUATED: &str = "corianderramp_evacuated_data_centers";
 /// Gauge of the time since a topic was last known to be current.
 const CATALOG_AGE: &str = "corianderramp_catalog_age_seconds";
 
 /// All metrics that the processes export. docs/operations/metrics.md says what to do
 /// when one of them changes.
-pub const METRICS: [Metric; 29] = [
+pub const METRICS: [Metric; 30] = [
     Metric {
         name: REQUESTS_TOTAL,
         kind: Type::Counter,
@@ -218,6 +220,12 @@
         labels: &["topic"],
         help: "Store revision up to which a gateway or host knows a topic",
     },
+    Metric {
+        name: EVACUATED,
+        kind: Type::Gauge,
+        labels: &[],
+        help: "Data centres that are evacuated as far as a gateway or host knows",
+    },
     Metric {
         name: CATALOG_AGE,
         kind: Type::Gauge,
@@ -289,16 +297,25 @@
 /// Sets the gauges of the catalog's revisions.
 #[allow(clippy::cast_precision_loss)]
 pub(crate) fn set_catalog(catalog: &Catalog) {
-    for topic in Topic::ALL {
+    let topics = Topic::ALL.into_iter();
+    // Most deployments don't follow evacuations.
+    let known = |t: &Topic| *t != Topic::Evacuations || catalog.evacuations_revision > 0;
+    for topic in topics.filter(known) {
         let gauge = metrics::gauge!(CATALOG_REVISION, "topic" => topic.name());
         gauge.set(revision::number(catalog.revision(topic)) as f64);
     }
     metrics::gauge!(STORE_ERA).set(catalog.era() as f64);
 }
 
+/// Sets the gauge of the number of evacuated data centres.
+#[allow(clippy::cast_precision_loss)]
+pub(crate) fn set_evacuated(count: usize) {
+    metrics::gauge!(EVACUATED).set(count as f64);
+}
+
 /// Sets the gauges of the time since each topic was last known to be current.
 pub(crate) fn set_contact(contact: &StoreContact, now: Instant) {
-    for topic in Topic::ALL {
+    for topic in contact.topics() {
         if let Some(age) = contact.topic_age(topic, now) {
             metrics::gauge!(CATALOG_AGE, "topic" => topic.name()).set(age.as_secs_f64());
         }
--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -207,6 +207,7 @@
         stop_ms: 8_000,
         weights_ms: 8_000,
         config_ms: 2_000,
+        evacuation_ms: None,
     };
     let contact = StoreContact::new(&bounds);
     let start = Instant::now();
@@ -237,6 +238,7 @@
             stop_ms: 8_000,
             weights_ms,
             config_ms,
+            evacuation_ms: None,
         };
         for topic in [Topic::Config, Topic::Targets] {
             let limit = Cadence::of(topic, &bounds).limit();
