--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -173,6 +173,9 @@
                 scope: &scope,
             };
             let Some(selection) = self.select_target(&needs, now) else {
+                if self.is_evacuated(&needs, now) {
+                    return Err(PlacementError::Evacuated);
+                }
                 if attempts > 0 && attempts < MAX_SLOT_REQUESTS - 1 {
                     attempts = MAX_SLOT_REQUESTS - 1;
                     continue;
