Test that no request is sent after its data centre is evacuated

A connection that opens slowly may do so after an evacuation came into force. The test fills the queue of a listener, so that the connection of the request opens only when its first packet is repeated after a second.

--- a/standins/tests/evacuations.rs
+++ b/standins/tests/evacuations.rs
@@ -3,8 +3,10 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use corianderramp::node::settings::Role;
@@ -14,6 +16,8 @@
 use http_body_util::Full;
 use serde_json::json;
 use standins::users::{self, Behavior, Target};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpSocket;
 use tokio::time;
 
 use users_fleet::{Fleet, TIMEOUT, call, call_until_ok, request};
@@ -318,6 +322,7 @@
     assert!(site.near.received().is_empty());
 }
 
+/// Status of a probe; 0 before the gateway listens.
 async fn status(probes: SocketAddr) -> u16 {
     let request = Request::builder()
         .uri("/ready")
@@ -325,5 +330,57 @@
         .body(Full::default())
         .unwrap();
     let response = net::call_once(probes, request, TIMEOUT, 1 << 10).await;
-    response.unwrap().status().as_u16()
+    response.map_or(0, |r| r.status().as_u16())
+}
+
+/// A request whose connection was still opening when its data centre was evacuated was sent
+/// there once the connection had opened.
+#[tokio::test]
+async fn request_is_not_sent_when_its_connection_opens_after_the_evacuation() {
+    let mut fleet = Fleet::start(8).await;
+    fleet.bounds.evacuation_ms = Some(u64::try_from(LIMIT.as_millis()).unwrap());
+    let address = fleet.net.address(16, 9000);
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(address).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let spec = users::target_spec("desk", address, 0);
+    fleet.store.put("servers", "i-16", spec);
+    let gateway = fleet.gateway(20);
+    let is_ready = async {
+        while status(fleet.net.address(20, 8081)).await != 200 {
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        time::sleep(Duration::from_millis(300)).await;
+    };
+    time::timeout(TIMEOUT, is_ready).await.unwrap();
+    // Connections that nobody accepts fill the queue; the next one opens when its first packet
+    // is repeated after a second.
+    let mut waiting = Vec::new();
+    let open = || TcpStream::connect_timeout(&address, Duration::from_millis(100));
+    while let Ok(connection) = open() {
+        waiting.push(connection);
+    }
+    let sent = request(Method::GET, "/check/x", "c");
+    let answer = tokio::spawn(async move { call(gateway, sent).await });
+    time::sleep(Duration::from_millis(300)).await;
+    fleet.store.put("evacuations", "z-a", json!({}));
+    time::sleep(Duration::from_millis(300)).await;
+    let received = Arc::new(AtomicUsize::new(0));
+    let count = received.clone();
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let opened = accepted.clone();
+    tokio::spawn(async move {
+        while let Ok((mut connection, _)) = listener.accept().await {
+            opened.fetch_add(1, Ordering::Relaxed);
+            let count = count.clone();
+            tokio::spawn(async move {
+                let bytes = connection.read(&mut [0; 1024]).await;
+                count.fetch_add(bytes.unwrap_or(0), Ordering::Relaxed);
+            });
+        }
+    });
+    let response = answer.await.unwrap().unwrap();
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(accepted.load(Ordering::Relaxed) > waiting.len());
+    assert_eq!(received.load(Ordering::Relaxed), 0);
 }
