Let returning callers wait for a place

Callers that were refused in an outage of 3 to 4 s came back after a third of their time and were refused a second and last time.

The gateway learns the time limit that the callers of each route send at first, and takes a noticeably shorter one for that of a returning caller. Such a caller makes two slot requests and then waits in a bounded queue for half of its time at most. States of hosts, changes of the catalog and a tick of 250 ms wake it; the other three slot requests are kept for that. Slot requests carry `is_returning`. `retry_after_outage` already named the end of a third of the time left and is unchanged.

In the model of tests/returning.rs nobody is refused after an outage of 3 s, and at most 3 callers after one of 4 s.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::place::limit::Limits;
 use crate::place::pool::Pool;
 use crate::place::quarantine::Quarantine;
+use crate::place::returning::UsualLimits;
 use crate::place::shutdown::Shutdown;
 use crate::shared_state::Phase;
 use crate::telemetry;
@@ -47,6 +48,7 @@
 mod scope;
 mod server;
 mod source;
+mod waiting;
 
 /// Maximum number of waits for a later lifetime of a target; each is woken by every change of the
 /// catalog.
@@ -66,6 +68,10 @@
     retry_budget: Mutex<retry::Budget>,
     refusals: Mutex<RefusalRate>,
     quarantine: Mutex<Quarantine>,
+    /// Time limits that callers send at first, by which those that return are told apart.
+    usual_limits: Mutex<UsualLimits>,
+    /// Returning callers that wait for a place.
+    waiting: Mutex<waiting::Queue>,
     inquiries: Mutex<Inquiries>,
     /// Deaths of targets that this gateway knows.
     deaths: Mutex<Deaths>,
@@ -122,6 +128,8 @@
         retry_budget: Mutex::new(retry::Budget::new(now)),
         refusals: Mutex::new(RefusalRate::new(now)),
         quarantine: Mutex::default(),
+        usual_limits: Mutex::default(),
+        waiting: Mutex::default(),
         inquiries: Mutex::default(),
         deaths: Mutex::default(),
         successor_waits: Semaphore::new(MAX_SUCCESSOR_WAITS),
@@ -209,6 +217,7 @@
         loop {
             let snapshot = snapshots.borrow_and_update().clone();
             self.pool.lock().sync(&snapshot);
+            self.wake_each_waiting();
             subscribed = self.subscribe_to_new(&subscribed);
             if snapshots.changed().await.is_err() {
                 return;
--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::Clock;
 use crate::gateway::Gateway;
+use crate::gateway::waiting;
 use crate::node::message::{
     self, Body, PermitReply, PermitRequest, RateLimit, SlotRelease, SlotReply, SlotRequest,
     Subscribe,
@@ -351,9 +352,14 @@
             cold: Duration::from_millis(state.cold_ms.into()),
             received: self.clock.now(),
         };
-        let previous = pool.get(key).and_then(|e| e.state);
+        let entry = pool.get(key);
+        let previous = entry.and_then(|e| e.state);
+        let service = entry.map(|e| waiting::service_key(&e.target.service));
         pool.update_state(key, current);
         drop(pool);
+        if let (Some(service), true) = (service, current.is_open) {
+            self.wake_waiting(service, current.free);
+        }
         let is_same =
             previous.is_some_and(|p| (p.weights, p.is_open) == (current.weights, current.is_open));
         if !is_same {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -24,6 +24,7 @@
 use crate::place::limit::{Notice, Permit};
 use crate::place::patience;
 use crate::place::pool::{Requirements, TargetKey};
+use crate::place::returning;
 use crate::platform::request::{self, TargetHeaders};
 
 /// Timeout for opening a connection to a target while there are others. Delays between regions
@@ -31,7 +32,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Slot requests to hosts before a request is refused. With dozens of gateways the states
 /// that each knows are up to a second old, and the best targets are often full already.
-const MAX_SLOT_REQUESTS: u32 = 5;
+const MAX_SLOT_REQUESTS: u32 = returning::MAX_ASKS;
 /// Time before the limit of old weights at which a request that waits on them is given up, so
 /// that the target learns of it in time.
 const CANCEL_MARGIN: Duration = Duration::from_millis(50);
@@ -51,6 +52,8 @@
     AskedToWait(Duration),
     /// No target serves the request now, or the last attempt can't be retried.
     NoTarget,
+    /// The process stops, and may exit before an answer is complete.
+    Stopping,
 }
 
 /// Response of a target whose body has not been read yet.
@@ -150,6 +153,18 @@
         self: &Arc<Self>,
         call: &Call,
         trace: &Mutex<Trace>,
+    ) -> Result<SlotGuard<C>, PlacementError> {
+        self.acquire_slot_within(call, trace, MAX_SLOT_REQUESTS)
+            .await
+    }
+
+    /// Selects a target for a request and acquires a slot there, with `max_requests` slot requests
+    /// at most.
+    pub(super) async fn acquire_slot_within(
+        self: &Arc<Self>,
+        call: &Call,
+        trace: &Mutex<Trace>,
+        max_requests: u32,
     ) -> Result<SlotGuard<C>, PlacementError> {
         let min_version = self.required_version(call, self.clock.now());
         let scope = self.scope(call);
@@ -157,11 +172,12 @@
         let mut refused: Vec<TargetKey> = tried.clone();
         let mut attempts = 0;
         let mut denials = 0;
+        let last_request = max_requests.saturating_sub(1);
         loop {
             let now = self.clock.now();
             // The last slot request accepts a wait and may go to a target that refused before:
             // their replies carried their current waits.
-            let immediate_only = attempts < MAX_SLOT_REQUESTS - 1;
+            let immediate_only = attempts < last_request;
             let needs = Requirements {
                 service: &call.service,
                 excluded: if immediate_only { &refused } else { &tried },
@@ -170,8 +186,8 @@
                 scope: &scope,
             };
             let Some(selection) = self.select_target(&needs, now) else {
-                if attempts > 0 && attempts < MAX_SLOT_REQUESTS - 1 {
-                    attempts = MAX_SLOT_REQUESTS - 1;
+                if attempts > 0 && attempts < last_request {
+                    attempts = last_request;
                     continue;
                 }
                 if let Some(pause) = self.pool.lock().pause(&needs, now) {
@@ -201,7 +217,7 @@
                 }
                 continue;
             }
-            if attempts == MAX_SLOT_REQUESTS {
+            if attempts == max_requests {
                 return Err(PlacementError::Full);
             }
             attempts += 1;
@@ -213,7 +229,7 @@
                 prompt_tokens: call.caller_headers.prompt_tokens,
                 output_tokens: call.caller_headers.output_tokens,
                 left: call.deadline.saturating_duration_since(now),
-                is_returning: false,
+                is_returning: call.is_returning,
                 immediate_only,
                 limit,
                 lifetime: selection.lifetime,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -36,6 +36,8 @@
     pub body: Bytes,
     /// Hashes of what may crash a target: the shared parts of the prompt and the whole request.
     pub fingerprints: Vec<u64>,
+    /// Whether the caller returns after a refusal.
+    pub is_returning: bool,
     /// When the request arrived.
     pub start: Instant,
     /// When the caller must have the final answer.
@@ -92,6 +94,8 @@
     pub sends: u32,
     /// Number of slot requests to hosts.
     pub asks: u32,
+    /// Time for which the caller waited for a place.
+    pub waited: Duration,
     /// Number of sends beside a silent target.
     pub hedges: u32,
     /// Longest silence of a target after which another one was looked for.
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -139,6 +139,7 @@
             target = trace.target.as_str(),
             sends = trace.sends,
             asks = trace.asks,
+            waited = millis(trace.waited),
             hedges = trace.hedges,
             resumed = self.resumed,
             silence = millis(trace.silence),
@@ -281,6 +282,7 @@
         let account_priority = account.and_then(|a| a.priority);
         let service = routes::select_service(route, &caller_headers.request_id).ok_or(NO_ROUTE)?;
         let limit = config.limits.body_bytes;
+        let is_returning = self.record_time_limit(route, &caller_headers);
         let mut call = Call {
             priority: account_priority.unwrap_or(route.priority),
             service: service.to_owned(),
@@ -293,6 +295,7 @@
             headers: parts.headers,
             body: Bytes::new(),
             fingerprints: Vec::new(),
+            is_returning,
             start: record.start,
             deadline,
             end,
@@ -370,6 +373,7 @@
         let error = self.refusal_cause(call, trace, error);
         let outcome = match error {
             PlacementError::CrashesTargets => return CRASHES_TARGETS,
+            PlacementError::Stopping => return STOPPING,
             PlacementError::Full => "no place",
             PlacementError::RateLimited(_) => "rate limited",
             PlacementError::AskedToWait(_) => "asked to wait",
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -140,7 +140,7 @@
     ) -> Result<Answer<C>, PlacementError> {
         let has_begun = since != call.start;
         loop {
-            let slot = self.acquire_slot(call, trace).await?;
+            let slot = self.acquire_or_wait(call, trace, has_begun).await?;
             // Another gateway may have seen a target die while this request waited for a slot.
             if self.is_quarantined(call) {
                 return Err(PlacementError::CrashesTargets);
--- a/src/place.rs
+++ b/src/place.rs
@@ -12,6 +12,7 @@
 pub mod patience;
 pub mod pool;
 pub mod quarantine;
+pub mod returning;
 pub mod scope;
 pub mod shutdown;
 pub mod slots;
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -44,9 +44,24 @@
 pub fn head_bytes(parts: &request::Parts) -> usize {
     let target = parts.uri.path_and_query().map_or(0, |t| t.as_str().len());
     let line = parts.method.as_str().len() + target + "  HTTP/1.1\r\n".len();
-    let headers = parts.headers.iter();
-    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
-    line + headers.sum::<usize>() + "\r\n".len()
+    line + header_bytes(&parts.headers) + "\r\n".len()
+}
+
+/// Returns the size of headers in a request, bytes.
+///
+/// ```
+/// use corianderramp::platform::request;
+/// use http::HeaderMap;
+///
+/// let mut headers = HeaderMap::new();
+/// headers.insert("host", "c".parse().unwrap());
+/// assert_eq!(request::header_bytes(&headers), "host: c\r\n".len());
+/// ```
+#[must_use]
+pub fn header_bytes(headers: &HeaderMap) -> usize {
+    let headers = headers.iter();
+    let sizes = headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    sizes.sum()
 }
 
 /// Values read from a caller's request headers.
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -67,7 +67,7 @@
 
 /// All metrics that the processes export. docs/operations/metrics.md says what to do
 /// when one of them changes.
-pub const METRICS: [Metric; 29] = [
+pub const METRICS: [Metric; 31] = [
     Metric {
         name: REQUESTS_TOTAL,
         kind: Type::Counter,
@@ -212,6 +212,18 @@
         labels: &["verdict"],
         help: "Places asked for at hosts: granted, refused or silent",
     },
+    Metric {
+        name: "corianderramp_gateway_waiting",
+        kind: Type::Gauge,
+        labels: &[],
+        help: "Returning callers that wait for a place",
+    },
+    Metric {
+        name: "corianderramp_gateway_waits_total",
+        kind: Type::Counter,
+        labels: &["result"],
+        help: "Ended waits of returning callers for a place, by result",
+    },
     Metric {
         name: CATALOG_REVISION,
         kind: Type::Gauge,
