Count a waiting caller that looks by itself as trying

A caller that looked for a place at its tick was not marked, so a state that came meanwhile woke it a second time, and it used up another slot request at once. It is marked now, and not woken twice.

Tests with stand-ins: a place that becomes free at a full engine, and an engine whose host states that it is open.

--- a/src/gateway/waiting.rs
+++ b/src/gateway/waiting.rs
@@ -147,12 +147,7 @@
                 return Err(PlacementError::CrashesTargets);
             }
             let is_last = now >= end;
-            let is_first = || {
-                self.waiting
-                    .lock()
-                    .is_first(place.ticket, place.service, now)
-            };
-            if !is_woken && !is_last && !is_first() {
+            if !is_woken && !is_last && !self.try_first(&place) {
                 continue;
             }
             let asks = trace.lock().asks;
@@ -213,6 +208,13 @@
         })
     }
 
+    /// Whether a caller that was not woken looks for a place.
+    fn try_first(&self, place: &Place<'_, C>) -> bool {
+        let now = self.clock.now();
+        let mut queue = self.waiting.lock();
+        queue.try_first(place.ticket, place.service, now)
+    }
+
     /// Marks a caller as idle that found no place, for `rest` at least. If that is zero, it could
     /// ask no target now, and the next caller may be luckier.
     fn rest(&self, place: &Place<'_, C>, rest: Duration) {
@@ -242,6 +244,9 @@
     /// Wakes waiting callers of a service after one of its targets stated `free` slots.
     pub(super) fn wake_waiting(&self, service: u64, free: u32) {
         let count = returning::woken_for(free);
+        if count == 0 {
+            return;
+        }
         let now = self.clock.now();
         let woken = self.waiting.lock().wake(service, count, now);
         for waiting in woken {
--- a/src/place/returning.rs
+++ b/src/place/returning.rs
@@ -438,12 +438,16 @@
         }
     }
 
-    /// Returns whether a caller is the first one of its service that does not rest.
-    #[must_use]
-    pub fn is_first(&self, ticket: Ticket, service: u64, now: Instant) -> bool {
-        let mut same = self.waiting.iter().filter(|w| w.service == service);
+    /// Marks a caller as trying if it is the first one of its service that does not rest, and was
+    /// not woken before. Returns whether it was marked.
+    pub fn try_first(&mut self, ticket: Ticket, service: u64, now: Instant) -> bool {
+        let mut same = self.waiting.iter_mut().filter(|w| w.service == service);
         let first = same.find(|w| w.rest_end <= now);
-        first.is_some_and(|w| w.ticket == ticket)
+        let Some(first) = first.filter(|w| w.ticket == ticket && !w.is_trying) else {
+            return false;
+        };
+        first.is_trying = true;
+        true
     }
 
     /// Returns the number of waiting callers.
--- a/standins/tests/returning_callers.rs
+++ b/standins/tests/returning_callers.rs
@@ -9,11 +9,12 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use rustix::process::{Signal, getpid, kill_process};
-use standins::users::Behavior;
+use serde_json::json;
+use standins::users::{self, Behavior};
 use tokio::sync::RwLock;
 use tokio::task::JoinHandle;
 use tokio::time::{self, Duration};
-use users_fleet::{Fleet, call, call_until_ok, request, wait_until};
+use users_fleet::{CHUNKS, Fleet, call, call_until_ok, request, wait_until};
 
 #[path = "support/users_fleet.rs"]
 mod users_fleet;
@@ -24,6 +25,8 @@
 const FIRST_MS: u64 = 2_900;
 /// Time limit of second attempts, milliseconds.
 const SECOND_MS: u64 = 2_600;
+/// Requests that a gateway sends at a time to an engine without a host.
+const UNREPORTED_PLACES: usize = 2;
 /// Number of callers of one account that may wait at a gateway.
 const MAX_WAITING_PER_ACCOUNT: u64 = 48;
 
@@ -74,6 +77,51 @@
     assert_eq!(engine.received().len(), 1);
 }
 
+/// A returning caller was refused although a place at a full engine became free within its time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn returning_caller_gets_the_next_free_place() {
+    let _shared = SIGNAL.read().await;
+    let fleet = Fleet::start(4).await;
+    let gateway = start_gateway(&fleet).await;
+    let behavior = Behavior::PacedStream(Duration::from_millis(90));
+    let engine = fleet.target(11, "llm", 1, behavior).await;
+    call_until_ok(gateway, Method::POST, "/plan/x").await;
+    let before = engine.received().len();
+    let start = |id: &str, limit| start(gateway, "/plan/x", id, limit);
+    let running = (0..UNREPORTED_PLACES).map(|i| start(&format!("running {i}"), FIRST_MS));
+    let running: Vec<Call> = running.collect();
+    let all = before + UNREPORTED_PLACES;
+    wait_until("all places are taken", || engine.received().len() == all).await;
+    let returning = start("second", SECOND_MS);
+    let new = start("new", FIRST_MS);
+    assert_eq!(status(new).await, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(!returning.is_finished());
+    assert_eq!(status(returning).await, StatusCode::OK);
+    for call in running {
+        assert_eq!(status(call).await, StatusCode::OK);
+    }
+}
+
+/// A returning caller was refused although the host of an engine stated within its time that the
+/// engine serves again. The store knows nothing of that.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn returning_caller_is_served_when_a_host_states_that_its_engine_is_open() {
+    let _shared = SIGNAL.read().await;
+    let fleet = Fleet::start(5).await;
+    let mut config = users::config_spec(2, fleet.net.address(2, 8000), CHUNKS);
+    config["routes"][0]["timeout_ms"] = json!(8_000);
+    fleet.store.put("config", "main", config);
+    fleet.target(11, "llm", 1, Behavior::Stream(1, 10)).await;
+    let closed = users::target_spec("llm", fleet.net.address(11, 9000), 0);
+    fleet.store.put("servers", "i-11", closed);
+    let gateway = start_gateway(&fleet).await;
+    let first = start(gateway, "/plan/x", "first with more time", 7_900);
+    assert_eq!(status(first).await, StatusCode::SERVICE_UNAVAILABLE);
+    let returning = start(gateway, "/plan/x", "second", 6_000);
+    fleet.host(11);
+    assert_eq!(status(returning).await, StatusCode::OK);
+}
+
 /// The request of a caller whose wait had ended was sent, or the caller heard of its refusal only
 /// at its deadline.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
