Predict waits at engines from prompt lengths and pace

A fixed share of the objective as the longest wait let long prompts begin too late and sent short ones away that would be on time, and waits did not follow an engine that turned slow. The slot table now bounds waits by the objective less the request's own prefill and pass, keeps the unread prompts as work, and scales it by the reported pace. Gateways weigh engines by prompt length.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,6 +21,7 @@
 use crate::gateway::guard::SlotGuard;
 use crate::net;
 use crate::node::message::RateLimit;
+use crate::place::forecast::{Forecast, Timing};
 use crate::place::limit::{Notice, Permit};
 use crate::place::patience;
 use crate::place::pool::{Requirements, TargetKey};
@@ -117,6 +118,16 @@
         Some(history.map_or(1, |h| h.required_version(limit, now)).max(1))
     }
 
+    /// When a request must begin at an engine of its service; `None` for plain services and while
+    /// the engine's parameters are unknown.
+    pub(super) fn timing(&self, call: &Call) -> Option<Timing> {
+        let catalog = self.catalog.snapshot();
+        let service = catalog.config.as_ref()?.service(&call.service)?;
+        let forecast = Forecast::known(service.engine.as_ref()?)?;
+        let prompt = call.caller_headers.prompt_tokens;
+        Some(forecast.timing(call.route().objective, prompt))
+    }
+
     /// When a request must have begun at a target; `None` if its weights are the newest.
     ///
     /// Load pattern: a target that holds old weights turns slow, or is crowded because others
@@ -168,6 +179,7 @@
                 min_version,
                 data_center: &self.data_center,
                 scope: &scope,
+                timing: self.timing(call),
             };
             let Some(selection) = self.select_target(&needs, now) else {
                 if attempts > 0 && attempts < MAX_SLOT_REQUESTS - 1 {
@@ -338,6 +350,7 @@
             min_version: self.required_version(call, now),
             data_center: &self.data_center,
             scope: &self.scope(call),
+            timing: self.timing(call),
         };
         let limit = if self.pool.lock().has_choice(&needs, now) {
             now + CONNECT_TIMEOUT
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -71,6 +71,7 @@
             min_version: self.required_version(call, now),
             data_center: &self.data_center,
             scope: &self.scope(call),
+            timing: self.timing(call),
         };
         let pause = self.pool.lock().pause(&needs, now);
         pause.map_or(error, PlacementError::from)
--- a/src/host.rs
+++ b/src/host.rs
@@ -282,9 +282,8 @@
                     let is_open = slots.is_open();
                     *slots = SlotTable::new(engine.slots, engine.slot_time(), engine.prefill_rate);
                     slots.set_open(is_open);
-                } else {
-                    slots.resize(engine.slots);
                 }
+                slots.configure(engine);
             }
             applied = engine;
             if updates.changed().await.is_err() {
@@ -329,6 +328,7 @@
             slots.reset();
         }
         slots.reconcile(report.running + report.queued, now);
+        slots.set_pace(report.slowdown, now);
         let active = slots.active();
         drop(slots);
         if let Some(silence) = silence {
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -152,7 +152,7 @@
             sequence: self.next_sequence(),
             target_port: self.target.port().into(),
             process: self.process,
-            prefill_ms: 0,
+            prefill_ms: u32::try_from(slots.prefill_left(now).as_millis()).unwrap_or(u32::MAX),
             cold_ms: 0,
         }
     }
--- a/src/place.rs
+++ b/src/place.rs
@@ -1,6 +1,7 @@
 //! Load decisions without input or output: which target gets a request, how many requests
 //! a target accepts, and when a refused caller should retry.
 
+pub mod backlog;
 pub mod backoff;
 pub mod death;
 pub mod eligibility;
--- a/src/place/slots.rs
+++ b/src/place/slots.rs
@@ -8,11 +8,18 @@
 //! Load pattern: a sound target falls silent for a second or so and goes on with all of its
 //! requests. Their slots stay taken meanwhile. New requests go to other targets; those that
 //! have none may wait at the silent one for its free slots, as long as their callers do.
+//!
+//! Load pattern: prompts of a few tokens and of thousands share engines whose pace changes within
+//! half a second. Waits follow the pace, and a request may wait as long as its own prompt permits.
 
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::Engine;
+use crate::place::backlog::Backlog;
+use crate::place::forecast::Forecast;
+
 /// Time within which a granted request has reached its target or was abandoned.
 const ARRIVAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Age at which a grant is dropped, in case its release was lost.
@@ -23,6 +30,14 @@
 /// Longest wait of a request that is to run immediately; above it the gateway asks another
 /// target.
 const MAX_IMMEDIATE_WAIT: Duration = Duration::from_millis(30);
+/// Share of the longest wait that a request may wait for a slot. The time until one is free
+/// varies by as much as its mean, while the time to read prompts is known.
+const SLOT_WAIT_SHARE: f64 = 0.5;
+/// Granted share of long prompts, relative to others, below which a long prompt may wait as long
+/// as one of mean length.
+const MIN_LONG_SHARE: f64 = 0.9;
+/// Weight of a new sample in the moving averages of granted shares.
+const SHARE_WEIGHT: f64 = 0.05;
 /// Share of the engine's prefill rate that remains while it decodes other requests.
 const PREFILL_SHARE: f64 = 0.65;
 /// Priority of ordinary requests. A request may wait for one more slot for each level that
@@ -84,8 +99,10 @@
     hold: f64,
     /// Prefill rate beside decoding, tokens per second.
     prefill_rate: f64,
-    /// When the prefill of all granted prompts will be done.
-    prefill_end: Option<Instant>,
+    /// Predicts the engine's times; `None` while its parameters are unknown.
+    forecast: Option<Forecast>,
+    /// Granted prompts that the target has not read yet.
+    backlog: Backlog,
     grants: Vec<Grant>,
     /// Grants that the last report did not count, in order of age. Their releases may still be on
     /// their way.
@@ -98,6 +115,9 @@
     /// When the target gave its first report after a silence.
     heard_since: Option<Instant>,
     is_open: bool,
+    /// Moving averages of the granted shares of long prompts and of the others.
+    granted_long: f64,
+    granted_short: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -115,16 +135,43 @@
             slots,
             hold: hold.as_secs_f64(),
             prefill_rate: (prefill * PREFILL_SHARE).max(1.0),
-            prefill_end: None,
+            forecast: None,
+            backlog: Backlog::default(),
             grants: Vec::new(),
             dropped: Vec::new(),
             ungranted: 0,
             silent_since: None,
             heard_since: None,
             is_open: false,
+            granted_long: 1.0,
+            granted_short: 1.0,
+        }
+    }
+
+    /// Adopts the parameters of the engine, from which waits are predicted as far as they are
+    /// known.
+    pub fn configure(&mut self, engine: &Engine) {
+        self.forecast = Forecast::known(engine);
+        if let Some(forecast) = &mut self.forecast {
+            forecast.set_pace(self.backlog.pace());
+        }
+        self.slots = engine.slots;
+    }
+
+    /// Sets the factor by which the target is slower than usual.
+    pub fn set_pace(&mut self, pace: f64, now: Instant) {
+        let pace = self.backlog.set_pace(pace, now);
+        if let Some(forecast) = &mut self.forecast {
+            forecast.set_pace(pace);
         }
     }
 
+    /// Returns the time until the target has read all granted prompts.
+    #[must_use]
+    pub fn prefill_left(&self, now: Instant) -> Duration {
+        self.backlog.left(now)
+    }
+
     /// Sets the number of slots.
     pub fn resize(&mut self, slots: u32) {
         self.slots = slots;
@@ -164,14 +211,26 @@
     #[must_use]
     pub fn expected_wait(&self, now: Instant) -> Duration {
         let ahead = (self.active() + 1).saturating_sub(self.slots);
-        let slot_wait = self.turnover().mul_f64(f64::from(ahead));
-        let prefill_wait = self.prefill_end.map(|at| at.saturating_duration_since(now));
+        let slot_wait = self
+            .turnover()
+            .mul_f64(f64::from(ahead) * self.backlog.pace());
         let silence = self.silence(now);
         slot_wait
-            .max(prefill_wait.unwrap_or_default())
+            .max(self.pass_excess())
+            .max(self.prefill_left(now))
             .max(silence.unwrap_or_default())
     }
 
+    /// Time by which a pass of a slow engine is longer than usual. The engine admits a request at
+    /// the end of a pass.
+    fn pass_excess(&self) -> Duration {
+        let Some(forecast) = &self.forecast else {
+            return Duration::ZERO;
+        };
+        let pass = forecast.pass(self.slots);
+        pass.saturating_sub(pass.div_f64(self.backlog.pace()))
+    }
+
     /// Time for which the target has not given the report that it was asked for; `None` while
     /// its reports come in time.
     #[must_use]
@@ -193,6 +252,53 @@
         Duration::from_secs_f64(self.hold / f64::from(self.slots.max(1)))
     }
 
+    /// Longest expected wait with which the first event of a request still comes within its
+    /// objective. Long prompts that are refused much more often than others may wait as long as one
+    /// of mean length.
+    fn limit(&self, request: &SlotRequest) -> Duration {
+        let Some(forecast) = &self.forecast else {
+            if request.immediate_only {
+                return MAX_IMMEDIATE_WAIT;
+            }
+            let levels = DEFAULT_PRIORITY.saturating_sub(request.priority);
+            return request.objective.mul_f64(MAX_WAIT_SHARE) + self.turnover() * u32::from(levels);
+        };
+        let mut timing = forecast.timing(request.objective, request.prompt_tokens);
+        let is_neglected = self.granted_long < self.granted_short * MIN_LONG_SHARE;
+        if timing.is_long && is_neglected {
+            timing.slack = timing.slack.max(forecast.mean_slack(request.objective));
+        }
+        if request.immediate_only {
+            return timing.slack.min(MAX_IMMEDIATE_WAIT);
+        }
+        let is_full = self.active() >= self.slots;
+        let share = if is_full { SLOT_WAIT_SHARE } else { 1.0 };
+        timing.slack.mul_f64(share)
+    }
+
+    /// Counts a decision, so that long prompts are not refused much more often than others.
+    fn record_decision(&mut self, request: &SlotRequest, is_granted: bool) {
+        let Some(forecast) = &self.forecast else {
+            return;
+        };
+        let timing = forecast.timing(request.objective, request.prompt_tokens);
+        let share = if timing.is_long {
+            &mut self.granted_long
+        } else {
+            &mut self.granted_short
+        };
+        let sample = if is_granted { 1.0 } else { 0.0 };
+        *share += (sample - *share) * SHARE_WEIGHT;
+    }
+
+    /// Time by which a prompt delays those behind it, at the usual pace.
+    fn reading(&self, tokens: u32) -> Duration {
+        match &self.forecast {
+            Some(forecast) => forecast.reading(tokens).div_f64(self.backlog.pace()),
+            None => Duration::from_secs_f64(f64::from(tokens) / self.prefill_rate),
+        }
+    }
+
     /// Grants or refuses a slot. A repeated request for a granted slot is granted again and
     /// takes no second one.
     pub fn request(&mut self, request: &SlotRequest, now: Instant) -> Decision {
@@ -207,21 +313,16 @@
             let limit = request.objective * SILENCE_OBJECTIVES;
             !request.immediate_only && silence < limit && self.active() < self.slots
         };
-        let limit = if request.immediate_only {
-            MAX_IMMEDIATE_WAIT
-        } else {
-            let levels = DEFAULT_PRIORITY.saturating_sub(request.priority);
-            request.objective.mul_f64(MAX_WAIT_SHARE) + self.turnover() * u32::from(levels)
-        };
+        let limit = self.limit(request);
         let is_full = match self.silence(now) {
             Some(silence) => !may_wait(silence),
             None => wait > limit,
         };
+        self.record_decision(request, !is_full);
         if is_full {
             return Decision::Full(wait);
         }
-        let prefill = Duration::from_secs_f64(f64::from(request.prompt_tokens) / self.prefill_rate);
-        self.prefill_end = Some(self.prefill_end.map_or(now, |at| at.max(now)) + prefill);
+        self.backlog.add(self.reading(request.prompt_tokens), now);
         if let Err(index) = self.find(request.id) {
             let grant = Grant {
                 id: request.id,
@@ -265,7 +366,8 @@
     /// Adopts the number of requests that the target reports. Drops grants whose requests
     /// never arrived or whose release was lost.
     pub fn reconcile(&mut self, reported: u32, now: Instant) {
-        if self.silent_since.take().is_some() {
+        if let Some(since) = self.silent_since.take() {
+            self.backlog.skip(since, now);
             self.heard_since = Some(now);
         }
         let age = |at: Instant| now.saturating_duration_since(at);
@@ -282,6 +384,9 @@
         grants.retain(|g| arrived.iter().all(|d| d.id != g.id));
         let granted = u32::try_from(grants.len()).unwrap_or(u32::MAX);
         self.ungranted = reported.saturating_sub(granted);
+        if reported == 0 && grants.is_empty() {
+            self.backlog.clear();
+        }
         (self.grants, self.dropped) = (grants, arrived);
     }
 
@@ -290,6 +395,7 @@
         self.grants.clear();
         self.dropped.clear();
         self.ungranted = 0;
+        self.backlog.clear();
         self.silent_since = None;
         self.heard_since = None;
     }
--- a/tests/eligibility.rs
+++ b/tests/eligibility.rs
@@ -17,6 +17,7 @@
     min_version: None,
     data_center: "a",
     scope: &Scope::ANY,
+    timing: None,
 };
 
 fn ms(ms: u64) -> Duration {
--- a/tests/load_model.rs
+++ b/tests/load_model.rs
@@ -236,6 +236,7 @@
                 min_version: Some(1),
                 data_center: ["a", "b", "c"][gateway % 3],
                 scope: &corianderramp::place::scope::Scope::ANY,
+                timing: None,
             };
             let rng = &mut self.rng;
             let key = self.pools[gateway].choose(&needs, now, || rng.random())?;
--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -235,6 +235,7 @@
         min_version: None,
         data_center: "a",
         scope: &corianderramp::place::scope::Scope::ANY,
+        timing: None,
     };
     assert!(pool.record_limit(keys[0], notice(Some(0.5), now)));
     pool.record_limited(keys[0], now + ms(2_000));
