--- a/tests/long_prompts.rs
+++ b/tests/long_prompts.rs
@@ -12,7 +12,9 @@
 use std::time::{Duration, Instant};
 
 use corianderramp::fleet::Engine;
-use corianderramp::place::forecast::Forecast;
+use corianderramp::place::forecast::{Forecast, Timing};
+use corianderramp::place::pool::{AgentState, Requirements};
+use corianderramp::place::scope::Scope;
 use corianderramp::place::slots::{Decision, GrantId, SlotRequest, SlotTable};
 
 #[path = "support/engines.rs"]
@@ -178,3 +180,46 @@
     let later = now + engines::ms(10.0);
     assert_eq!(table.request(&request(2, 10), later), Decision::Granted);
 }
+
+/// Guards against long prompts that are sent behind others, against short ones that all gateways
+/// send to the emptiest engine, and against an engine that is avoided by an old report.
+#[test]
+fn long_prompt_goes_to_the_smallest_backlog_and_short_one_anywhere() {
+    let now = Instant::now();
+    let (mut pool, keys) = prompts::pool();
+    for (i, key) in keys.iter().enumerate() {
+        let wait = [0.0, 15.0, 5_000.0][i.min(2)];
+        let state = AgentState {
+            free: [12, 9, 9][i.min(2)],
+            wait: engines::ms(wait),
+            weights: 1,
+            is_open: true,
+            prefill: engines::ms(wait),
+            cold: Duration::ZERO,
+            received: now,
+        };
+        pool.update_state(*key, state);
+    }
+    let forecast = Forecast::known(&engines::first().engine).unwrap();
+    let choose = |timing: Timing, draws: [f64; 2], at: Instant| {
+        let needs = Requirements {
+            service: "llm",
+            excluded: &keys[2..],
+            min_version: Some(1),
+            data_center: "c",
+            scope: &Scope::ANY,
+            timing: Some(timing),
+        };
+        let mut draws = draws.into_iter();
+        let chosen = pool.choose(&needs, at, || draws.next().unwrap());
+        keys.iter().position(|k| Some(*k) == chosen)
+    };
+    let [long, short] = [3_000, 100].map(|n| forecast.timing(OBJECTIVE, n));
+    assert!(long.is_long && !short.is_long);
+    assert_eq!(choose(long, [0.9, 0.1], now), Some(0));
+    assert_eq!(choose(short, [0.9, 0.1], now), Some(1));
+    assert_eq!(choose(short, [0.1, 0.9], now), Some(0));
+    // Reported waits have passed by then; only the free slots remain.
+    let later = now + engines::ms(15.0);
+    assert_eq!(choose(long, [0.9, 0.1], later), Some(1));
+}
--- a/tests/support/prompts.rs
+++ b/tests/support/prompts.rs
@@ -30,6 +30,36 @@
     Forecast,
 }
 
+/// Pool of the deployments' engines, and their keys.
+pub fn pool() -> (Pool, Vec<TargetKey>) {
+    let targets = (0..SERVERS).map(|i| Entry {
+        name: format!("i-{i:02}"),
+        revision: 1,
+        value: Target {
+            id: format!("i-{i:02}"),
+            service: "llm".into(),
+            address: format!("10.0.0.{}:80", i + 1).parse().unwrap(),
+            data_center: ["a", "b", "c"][i % 3].into(),
+            slots: SLOTS,
+            phase: Phase::Ready,
+            started: 1,
+            has_engine: true,
+            weights: Some(1),
+            cold_left: Duration::ZERO,
+        },
+    });
+    let mut catalog = Catalog::default();
+    catalog.replace_targets(1, targets.collect());
+    let mut pool = Pool::default();
+    pool.sync(&catalog);
+    let find = |i: usize| {
+        let address = format!("10.0.0.{}:80", i + 1).parse().unwrap();
+        pool.find(address).unwrap()
+    };
+    let keys = (0..SERVERS).map(find).collect();
+    (pool, keys)
+}
+
 struct Model<'a> {
     deployment: &'a Deployment,
     policy: Policy,
@@ -40,7 +70,7 @@
     servers: Vec<Server>,
     tables: Vec<SlotTable>,
     pools: Vec<Pool>,
-    keys: Vec<Vec<TargetKey>>,
+    keys: Vec<TargetKey>,
     start: Instant,
     outcomes: Vec<Outcome>,
     /// Longest time of a server's prompts until they are read, milliseconds.
@@ -52,34 +82,8 @@
 
 impl<'a> Model<'a> {
     fn new(deployment: &'a Deployment, policy: Policy, seed: u64) -> Self {
-        let targets = (0..SERVERS).map(|i| Entry {
-            name: format!("i-{i:02}"),
-            revision: 1,
-            value: Target {
-                id: format!("i-{i:02}"),
-                service: "llm".into(),
-                address: format!("10.0.0.{}:80", i + 1).parse().unwrap(),
-                data_center: ["a", "b", "c"][i % 3].into(),
-                slots: SLOTS,
-                phase: Phase::Ready,
-                started: 1,
-                has_engine: true,
-                weights: Some(1),
-                cold_left: Duration::ZERO,
-            },
-        });
-        let mut catalog = Catalog::default();
-        catalog.replace_targets(1, targets.collect());
-        let mut pools = vec![Pool::default(); deployment.gateways];
-        let mut keys = Vec::new();
-        for pool in &mut pools {
-            pool.sync(&catalog);
-            let find = |i: usize| {
-                let address = format!("10.0.0.{}:80", i + 1).parse().unwrap();
-                pool.find(address).unwrap()
-            };
-            keys.push((0..SERVERS).map(find).collect());
-        }
+        let (pool, keys) = pool();
+        let pools = vec![pool; deployment.gateways];
         let engine = &deployment.engine;
         let mut table = SlotTable::new(SLOTS, engine.slot_time(), engine.prefill_rate);
         table.set_open(true);
@@ -118,7 +122,7 @@
             cold: Duration::ZERO,
             received: now,
         };
-        self.pools[gateway].update_state(self.keys[gateway][server], state);
+        self.pools[gateway].update_state(self.keys[server], state);
     }
 
     fn request_slot(
@@ -143,7 +147,7 @@
             };
             let rng = &mut self.rng;
             let key = self.pools[gateway].choose(&needs, now, || rng.random())?;
-            let server = self.keys[gateway].iter().position(|k| *k == key).unwrap();
+            let server = self.keys.iter().position(|k| *k == key).unwrap();
             let request = SlotRequest {
                 id: GrantId {
                     gateway_id: gateway as u64,
