Keep the rate of cold targets over all gateways

A target that has just started crashes well above a few dozen requests a second, and a data centre comes back with all targets cold at once under load. Hosts now pace permits at the plain rate: beside engines with the slots, for plain targets as witnesses that are ordered by registrations alone. A second witness gives out a quarter, a gateway without a witness 1/256. A cold engine whose host is silent gets nothing.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,12 +16,14 @@
 use crate::clock::Clock;
 use crate::entry::retry;
 use crate::fleet;
+use crate::fleet::catalog::Catalog;
 use crate::node::follow;
 use crate::node::freshness::StoreContact;
 use crate::node::settings::{Listen, Settings};
 use crate::node::stop::Signals;
 use crate::node::{Error, ListenSnafu, MissingSnafu, SharedCatalog, metrics_listener};
 use crate::place::backoff::RefusalRate;
+use crate::place::cold::Limiters;
 use crate::place::death::Inquiries;
 use crate::place::handover::{Deaths, Holders};
 use crate::place::limit::Limits;
@@ -35,6 +37,7 @@
 mod answer;
 mod attempt;
 mod call;
+mod cold;
 mod connection;
 mod crashes;
 mod events;
@@ -75,6 +78,8 @@
     limit_holders: Mutex<Holders>,
     /// Permits for targets about which no host decides.
     limits: Mutex<Limits>,
+    /// Permits for cold targets that have no witness.
+    cold_permits: Mutex<Limiters>,
     bounds: crate::node::settings::Bounds,
     /// Limits in force for callers' connections.
     caller_limits: watch::Sender<fleet::Limits>,
@@ -127,6 +132,7 @@
         successor_waits: Semaphore::new(MAX_SUCCESSOR_WAITS),
         limit_holders: Mutex::default(),
         limits: Mutex::default(),
+        cold_permits: Mutex::default(),
         bounds: settings.bounds.clone(),
         caller_limits: watch::Sender::default(),
         shutdown: OnceLock::new(),
@@ -203,12 +209,19 @@
         self.shutdown.get().is_none_or(|s| s.may_serve(now, end))
     }
 
+    fn update_pool(&self, catalog: &Catalog) {
+        let mut pool = self.pool.lock();
+        let wall = pool.is_empty().then(|| self.clock.wall());
+        pool.sync(catalog);
+        pool.sync_cold(catalog, self.clock.now(), wall);
+    }
+
     async fn sync_pool(self: Arc<Self>) {
         let mut snapshots = self.catalog.subscribe();
         let mut subscribed = Vec::new();
         loop {
             let snapshot = snapshots.borrow_and_update().clone();
-            self.pool.lock().sync(&snapshot);
+            self.update_pool(&snapshot);
             subscribed = self.subscribe_to_new(&subscribed);
             if snapshots.changed().await.is_err() {
                 return;
--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -14,8 +14,8 @@
 use crate::clock::Clock;
 use crate::gateway::Gateway;
 use crate::node::message::{
-    self, Body, PermitReply, PermitRequest, RateLimit, SlotRelease, SlotReply, SlotRequest,
-    Subscribe,
+    self, Body, ColdRequest, PermitReply, PermitRequest, RateLimit, SlotRelease, SlotReply,
+    SlotRequest, Subscribe,
 };
 use crate::place::handover::HostProcess;
 use crate::place::pool::{AgentState, TargetKey};
@@ -151,6 +151,11 @@
         self.next_id.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Random id of this process.
+    pub(super) fn gateway_id(&self) -> u64 {
+        self.gateway_id
+    }
+
     /// Address from which this gateway sends; `None` if the socket fails.
     pub(super) fn own_address(&self) -> Option<SocketAddr> {
         self.socket.local_addr().ok()
@@ -166,6 +171,11 @@
         self.send_release(target, request_id, false);
     }
 
+    /// Tells the host of `target` that a request was not sent or was declined.
+    pub fn cancel(&self, target: SocketAddr, request_id: u64) {
+        self.send_release(target, request_id, true);
+    }
+
     fn send_release(&self, target: SocketAddr, request_id: u64, is_unused: bool) {
         let release = SlotRelease {
             gateway_id: self.gateway_id,
@@ -248,13 +258,35 @@
             request_id,
             limit,
         };
+        self.exchange_permit(keeper, request_id, &Body::PermitRequest(request))
+            .await
+    }
+
+    /// Requests a permit for a cold target from the host of `witness`; `None` when it does not
+    /// reply.
+    pub async fn request_cold_permit(
+        &self,
+        witness: SocketAddr,
+        request: ColdRequest,
+    ) -> Option<PermitReply> {
+        let body = Body::ColdRequest(request);
+        self.exchange_permit(witness, request.request_id, &body)
+            .await
+    }
+
+    async fn exchange_permit(
+        &self,
+        keeper: SocketAddr,
+        request_id: u64,
+        body: &Body,
+    ) -> Option<PermitReply> {
         let _entry = Entry {
             pending: &self.permits,
             request_id,
         };
         for _ in 0..MAX_ATTEMPTS {
             let receiver = self.permits.add(request_id);
-            self.send(keeper, Body::PermitRequest(request));
+            self.send(keeper, body.clone());
             if let Ok(Ok(reply)) = time::timeout(REPLY_TIMEOUT, receiver).await {
                 return Some(reply);
             }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -187,14 +187,13 @@
             let Selection { key, address, .. } = selection;
             let limit = selection.rate_limit(now);
             if !selection.needs_grant {
-                let Some(limit) = limit.filter(|l| l.rate.is_some()) else {
-                    return Ok(SlotGuard::begin(self, key, address, None));
-                };
-                trace.lock().asks += 1;
-                denials += 1;
-                match self.acquire_permit(address, limit).await {
+                let mut asks = 0;
+                let permit = self.acquire_permits(&selection, limit, &mut asks).await;
+                trace.lock().asks += asks;
+                denials += asks.max(1);
+                match permit {
                     Permit::Granted => return Ok(SlotGuard::begin(self, key, address, None)),
-                    Permit::Denied(wait) if denials == MAX_SLOT_REQUESTS => {
+                    Permit::Denied(wait) if denials >= MAX_SLOT_REQUESTS => {
                         return Err(PlacementError::RateLimited(wait));
                     }
                     Permit::Denied(wait) => self.record_limited(key, wait),
@@ -242,6 +241,24 @@
         }
     }
 
+    /// Acquires the permits that a target without a host needs: one while it is cold and one for
+    /// the rate limit that it named.
+    async fn acquire_permits(
+        &self,
+        selection: &Selection,
+        limit: Option<RateLimit>,
+        asks: &mut u32,
+    ) -> Permit {
+        let permit = self.acquire_cold_permit(selection.key, asks).await;
+        match limit.filter(|l| l.rate.is_some()) {
+            Some(limit) if permit == Permit::Granted => {
+                *asks += 1;
+                self.acquire_permit(selection.address, limit).await
+            }
+            _ => permit,
+        }
+    }
+
     fn record_limited(&self, key: TargetKey, wait: Duration) {
         let until = self.clock.now() + wait;
         self.pool.lock().record_limited(key, until);
@@ -252,7 +269,7 @@
     pub(super) async fn send(
         self: &Arc<Self>,
         call: &Call,
-        slot: SlotGuard<C>,
+        mut slot: SlotGuard<C>,
         trace: &Mutex<Trace>,
         last_event: Option<u64>,
     ) -> Result<TargetResponse<C>, SendError> {
@@ -315,7 +332,9 @@
             slot.record_result(false);
             return Err(SendError::MayHaveRun("answer to another request"));
         }
-        if head.status != StatusCode::MISDIRECTED_REQUEST {
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            slot.decline();
+        } else {
             self.observe_head(call, &slot, &head, sent);
         }
         if head.status == StatusCode::MISDIRECTED_REQUEST || request::not_run(&head.headers) {
--- a/src/gateway/guard.rs
+++ b/src/gateway/guard.rs
@@ -21,6 +21,8 @@
     pub lifetime: u64,
     /// Request id of the slot that the host granted; `None` without a grant.
     request_id: Option<u64>,
+    /// Whether the target did not take the request.
+    is_declined: bool,
 }
 
 impl<C: Clock> SlotGuard<C> {
@@ -38,9 +40,15 @@
             address,
             lifetime,
             request_id,
+            is_declined: false,
         }
     }
 
+    /// Records that the target did not take the request, so that it does not count there.
+    pub fn decline(&mut self) {
+        self.is_declined = true;
+    }
+
     /// Records whether the request to the target succeeded.
     pub fn record_result(&self, is_success: bool) {
         let now = self.gateway.clock.now();
@@ -54,8 +62,11 @@
 impl<C: Clock> Drop for SlotGuard<C> {
     fn drop(&mut self) {
         self.gateway.pool.lock().end_request(self.key);
-        if let Some(request_id) = self.request_id {
-            self.gateway.agents.release(self.address, request_id);
+        let agents = &self.gateway.agents;
+        match self.request_id {
+            Some(request_id) if self.is_declined => agents.cancel(self.address, request_id),
+            Some(request_id) => agents.release(self.address, request_id),
+            None => {}
         }
     }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -34,6 +34,7 @@
 
 mod announce;
 mod chunks;
+mod cold;
 mod deaths;
 mod exchange;
 mod fetch;
@@ -94,6 +95,7 @@
     reported: Notify,
     /// Rate limits of this host's target and of those without a host.
     limits: Mutex<Limits>,
+    cold: Mutex<cold::ColdTargets>,
     upload_pacer: Mutex<Pacer>,
     /// Held while a manifest is fetched from the origin.
     manifest_lock: tokio::sync::Mutex<()>,
@@ -155,6 +157,7 @@
         deaths: Mutex::default(),
         reported: Notify::new(),
         limits: Mutex::default(),
+        cold: Mutex::default(),
         upload_pacer: Mutex::new(Pacer::new(settings.link_mbps, clock.now())),
         manifest_lock: tokio::sync::Mutex::default(),
         report_client: tokio::sync::Mutex::new(engine::ReportClient::new(target.address)),
@@ -331,6 +334,7 @@
         slots.reconcile(report.running + report.queued, now);
         let active = slots.active();
         drop(slots);
+        self.observe_start(report.started, now);
         if let Some(silence) = silence {
             let ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
             info!(target:% = self.target, ms, active; "target goes on after a silence");
@@ -353,6 +357,7 @@
         if error.is_refused() {
             self.set_open(false, "target unreachable");
             self.slots.lock().reset();
+            self.record_engine_end();
             return;
         }
         let now = self.clock.now();
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -65,6 +65,7 @@
             }
             Body::SlotRelease(release) if release.is_unused => {
                 self.slots.lock().cancel(release.grant_id());
+                self.cancel_cold(release.grant_id());
             }
             Body::SlotRelease(release) => self.slots.lock().release(release.grant_id(), now),
             Body::HeldChunks(held) => self.receive_held(from, held, now),
@@ -76,6 +77,10 @@
                 let reply = self.decide_permit(&request, now);
                 self.send(from, Body::PermitReply(reply));
             }
+            Body::ColdRequest(request) => {
+                let reply = self.decide_cold(&request, now);
+                self.send(from, Body::PermitReply(reply));
+            }
             Body::State(_) | Body::SlotReply(_) | Body::PermitReply(_) => {
                 log::debug!(from:% = from; "datagram ignored");
             }
@@ -90,8 +95,12 @@
             gateway_id: request.gateway_id,
             request_id: request.request_id,
         };
-        let permit = self.limits.lock().request(request.lifetime, id, now);
+        let mut permit = self.limits.lock().request(request.lifetime, id, now);
+        if permit == Permit::Granted {
+            permit = self.request_cold(id, now);
+        }
         if let Permit::Denied(wait) = permit {
+            self.limits.lock().cancel(request.lifetime, id);
             return SlotReply {
                 request_id: request.request_id,
                 is_granted: false,
@@ -111,8 +120,11 @@
         };
         let decision = self.slots.lock().request(&slot_request, now);
         let is_granted = decision == Decision::Granted;
-        if !is_granted {
+        if is_granted {
+            self.count_warm(now);
+        } else {
             self.limits.lock().cancel(request.lifetime, id);
+            self.cancel_cold(id);
         }
         SlotReply {
             request_id: request.request_id,
@@ -153,7 +165,7 @@
             target_port: self.target.port().into(),
             process: self.process,
             prefill_ms: 0,
-            cold_ms: 0,
+            cold_ms: u32::try_from(self.cold_left(now).as_millis()).unwrap_or(u32::MAX),
         }
     }
 
--- a/src/node/freshness.rs
+++ b/src/node/freshness.rs
@@ -32,7 +32,13 @@
     /// use corianderramp::node::freshness::Cadence;
     /// use corianderramp::node::settings::Bounds;
     ///
-    /// let bounds = Bounds { stop_ms: 8_000, weights_ms: 8_000, config_ms: 4_000 };
+    /// let bounds = Bounds {
+    ///     stop_ms: 8_000,
+    ///     weights_ms: 8_000,
+    ///     config_ms: 4_000,
+    ///     cold_overage: None,
+    ///     cold_slack: None,
+    /// };
     /// let cadence = Cadence::of(Topic::Config, &bounds);
     /// assert_eq!(cadence.limit(), Duration::from_secs(3));
     /// ```
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Packet {
     /// Content; `None` for an unknown kind.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<Body>,
 }
 
@@ -54,6 +54,9 @@
     /// Reply to a permit request.
     #[prost(message, tag = "12")]
     PermitReply(PermitReply),
+    /// Request of a gateway for a permit to send one request to a cold target.
+    #[prost(message, tag = "13")]
+    ColdRequest(ColdRequest),
 }
 
 /// Subscription of a gateway to a host's state; the gateway renews it periodically.
@@ -198,6 +201,26 @@
     pub limit: RateLimit,
 }
 
+/// Request of a gateway for a permit to send one request to a cold target without a host.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct ColdRequest {
+    /// Random identifier of the gateway process, new at every start.
+    #[prost(uint64, tag = "1")]
+    pub gateway_id: u64,
+    /// Number of the permit request at its gateway.
+    #[prost(uint64, tag = "2")]
+    pub request_id: u64,
+    /// Hash of the target's lifetime.
+    #[prost(fixed64, tag = "3")]
+    pub lifetime: u64,
+    /// Requests per second that the receiver may give out.
+    #[prost(double, tag = "4")]
+    pub rate: f64,
+    /// Permits that can be saved up.
+    #[prost(double, tag = "5")]
+    pub burst: f64,
+}
+
 /// Reply to a permit request.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct PermitReply {
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
+use crate::place::cold;
 use crate::settings::{Error, Log, ParseSnafu, ReadSnafu};
 
 /// Role of a node.
@@ -94,6 +95,12 @@
     /// milliseconds.
     #[serde(default = "default_config_ms")]
     pub config_ms: u64,
+    /// Multiple of its rate that a cold target may get in a second.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_overage: Option<f64>,
+    /// Requests beyond it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_slack: Option<f64>,
 }
 
 /// Time for a change of the configuration in deployments that state none, milliseconds.
@@ -108,6 +115,15 @@
         Duration::from_millis(self.config_ms)
     }
 
+    /// Bound on the requests to cold targets; deployments that state none get the plain rate.
+    #[must_use]
+    pub fn cold(&self) -> cold::Bound {
+        cold::Bound {
+            overage: self.cold_overage.unwrap_or(1.0),
+            slack: self.cold_slack.unwrap_or(0.0),
+        }
+    }
+
     /// Time from SIGTERM to SIGKILL.
     #[must_use]
     pub fn stop_limit(&self) -> Duration {
@@ -153,6 +169,14 @@
         if self.bounds.config_ms == 0 {
             return Err(("bounds.config_ms", "must be greater than 0"));
         }
+        let is_bad =
+            |value: Option<f64>, least: f64| value.is_some_and(|v| !v.is_finite() || v < least);
+        if is_bad(self.bounds.cold_overage, 1.0) {
+            return Err(("bounds.cold_overage", "must be at least 1"));
+        }
+        if is_bad(self.bounds.cold_slack, 0.0) {
+            return Err(("bounds.cold_slack", "must not be negative"));
+        }
         if self.link_mbps.is_nan() || self.link_mbps <= 0.0 {
             return Err(("link_mbps", "must be greater than 0"));
         }
--- a/src/place.rs
+++ b/src/place.rs
@@ -2,6 +2,7 @@
 //! a target accepts, and when a refused caller should retry.
 
 pub mod backoff;
+pub mod cold;
 pub mod death;
 pub mod eligibility;
 pub mod forecast;
--- a/src/place/pool.rs
+++ b/src/place/pool.rs
@@ -2,12 +2,13 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use slotmap::{SlotMap, new_key_type};
 
 use crate::fleet::catalog::Catalog;
 use crate::fleet::{Phase, Target};
+use crate::place::cold::{Start, Tracker};
 use crate::place::death::Lifetime;
 use crate::place::eligibility::{Eligibility, Pause, Verdict};
 use crate::place::limit::Notice;
@@ -81,6 +82,8 @@
     pub lifetime: u64,
     /// Decides whether the target may be asked.
     pub eligibility: Eligibility,
+    /// Until when it is cold.
+    pub cold: Tracker,
 }
 
 impl Entry {
@@ -178,6 +181,7 @@
                         failure_rate: 0.0,
                         lifetime,
                         eligibility: eligibility.unwrap_or_default(),
+                        cold: Tracker::default(),
                     });
                     self.ids.insert(i, (known.name.clone(), key));
                 }
@@ -185,6 +189,27 @@
         }
     }
 
+    /// Updates until when the registered targets are cold. `wall` is the wall clock if they may
+    /// have started long ago, because this process has just learned of them all.
+    pub fn sync_cold(&mut self, catalog: &Catalog, now: Instant, wall: Option<SystemTime>) {
+        let config = catalog.config.as_ref();
+        for entry in self.entries.values_mut() {
+            let service = config.and_then(|c| c.service(&entry.target.service));
+            let start = Start {
+                started: entry.target.started,
+                left: Some(entry.target.cold_left),
+            };
+            let cold = service.and_then(|s| s.cold);
+            entry.cold.observe(start, cold, now, wall);
+        }
+    }
+
+    /// Returns whether no target is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     fn remove(&mut self, key: TargetKey) {
         let Some(entry) = self.entries.remove(key) else {
             return;
@@ -230,6 +255,7 @@
         if let Some(entry) = self.entries.get_mut(key) {
             entry.state = Some(state);
             entry.last_timeout = None;
+            entry.cold.set_left(state.cold, state.received);
         }
     }
 
@@ -428,7 +454,8 @@
     }
     match entry.current_state(now) {
         Some(state) => state.is_open,
-        None => entry.active < MAX_UNREPORTED_REQUESTS,
+        // Only the host beside a cold engine knows how many requests the engine gets.
+        None => entry.active < MAX_UNREPORTED_REQUESTS && entry.cold.left(now).is_zero(),
     }
 }
 
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -7,8 +7,8 @@
 use serde_json::Value;
 
 use crate::fleet::{
-    Account, Config, Engine, Key, Limits, Origin, Phase, Release, Route, RouteKind, Service,
-    Target, WeightedService,
+    Account, ColdStart, Config, Engine, Key, Limits, Origin, Phase, Release, Route, RouteKind,
+    Service, Target, WeightedService,
 };
 
 /// Configuration object as written by the operator.
@@ -57,6 +57,12 @@
     /// Bandwidth of the origin's link; the field of this name within `engine` has another
     /// meaning.
     link_mbps: Option<f64>,
+    /// Time for which its targets are cold after a start, seconds.
+    #[serde(default)]
+    cold_start_s: Value,
+    /// Requests per second that a cold target takes.
+    #[serde(default)]
+    cold_per_s: Value,
 }
 
 #[derive(Deserialize)]
@@ -118,6 +124,9 @@
     /// Missing unless the target is a model engine.
     models: Option<Vec<WireHeldModel>>,
     layers: Option<WireLayers>,
+    /// Time for which it is still cold.
+    #[serde(default)]
+    cold_remaining_ms: Value,
 }
 
 /// Model whose weights a target holds.
@@ -137,11 +146,26 @@
 /// Error for an object that does not match the schema of its kind.
 pub type ParseError = serde_json::Error;
 
+/// Longest cold time that is taken. A longer one is a mistake.
+const MAX_COLD: Duration = Duration::from_secs(60 * 60);
+
 fn millis(ms: f64) -> Duration {
     // Negative, infinite and NaN values can't be converted and count as 0.
     Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_default()
 }
 
+/// Returns a positive number; 0 for any other value.
+fn positive(value: &Value) -> f64 {
+    value.as_f64().filter(|n| *n > 0.0).unwrap_or(0.0)
+}
+
+/// Returns what the targets of a service take while cold; `None` unless both values are positive.
+fn cold_start(wire: &WireService) -> Option<ColdStart> {
+    let time = millis(positive(&wire.cold_start_s) * 1000.0).min(MAX_COLD);
+    let rate = positive(&wire.cold_per_s);
+    (!time.is_zero() && rate > 0.0).then_some(ColdStart { time, rate })
+}
+
 /// Decodes a configuration from the `spec` of its object.
 ///
 /// # Errors
@@ -229,6 +253,7 @@
 }
 
 fn service(wire: WireService) -> Service {
+    let cold = cold_start(&wire);
     let engine = wire.engine.map(|e| Engine {
         slots: e.slots,
         step: millis(e.step_ms),
@@ -250,7 +275,7 @@
         name: wire.name,
         engine,
         origin,
-        cold: None,
+        cold,
     }
 }
 
@@ -292,7 +317,8 @@
         started: wire.born.unwrap_or(0),
         has_engine: wire.models.is_some(),
         weights: complete_version(&wire.models.unwrap_or_default(), wire.layers.as_ref()),
-        cold_left: Duration::ZERO,
+        // The cold start of the service limits it further.
+        cold_left: millis(positive(&wire.cold_remaining_ms)).min(MAX_COLD),
     })
 }
 
--- a/standins/tests/soak_platform.rs
+++ b/standins/tests/soak_platform.rs
@@ -137,6 +137,8 @@
                 stop_ms: STOP_TIME.as_millis().try_into().unwrap(),
                 weights_ms: 8_000,
                 config_ms: 2_000,
+                cold_overage: None,
+                cold_slack: None,
             },
             metrics: Some(address(9464)),
             log: settings::Log::default(),
--- a/standins/tests/support/users_fleet.rs
+++ b/standins/tests/support/users_fleet.rs
@@ -41,6 +41,8 @@
         stop_ms: 8_000,
         weights_ms: 8_000,
         config_ms: 2_000,
+        cold_overage: None,
+        cold_slack: None,
     }
 }
 
--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -207,6 +207,8 @@
         stop_ms: 8_000,
         weights_ms: 8_000,
         config_ms: 2_000,
+        cold_overage: None,
+        cold_slack: None,
     };
     let contact = StoreContact::new(&bounds);
     let start = Instant::now();
@@ -237,6 +239,8 @@
             stop_ms: 8_000,
             weights_ms,
             config_ms,
+            cold_overage: None,
+            cold_slack: None,
         };
         for topic in [Topic::Config, Topic::Targets] {
             let limit = Cadence::of(topic, &bounds).limit();
