Halve the share of gateways without a witness

With 1/256 of the rate, 330 gateways without any witness could exceed the bound when the draw of their starts was uneven; the test allowed 60 in a second where the bound is 44. With 1/512 it checks the bound itself. The check that limiters are bounded compared a constant; it now shows that the oldest ones are forgotten.

--- a/src/place/cold.rs
+++ b/src/place/cold.rs
@@ -27,8 +27,9 @@
 /// Longest time by which requests before the start of the cold time delay the first permit.
 const MAX_DEBT: Duration = Duration::from_secs(1);
 /// Part of the rate that a gateway uses without any witness. 330 gateways, the size that the
-/// design must reach, then send 1.3 times the rate together.
-const LONE_SHARE: f64 = 1.0 / 256.0;
+/// design must reach, then send two thirds of the rate together, so that an uneven draw of their
+/// starts leaves them within the bound.
+const LONE_SHARE: f64 = 1.0 / 512.0;
 /// Largest part of the rate that a witness other than the first gives out.
 const MAX_FALLBACK_SHARE: f64 = 0.25;
 /// Part of the slack that is used for permits saved up; the rest is for requests that are late on
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -211,7 +211,7 @@
 /// Gateways without any witness saw the target start at the same moment; 330 of them must not
 /// send their first requests together.
 #[test]
-fn gateways_without_a_witness_stay_near_the_rate() {
+fn gateways_without_a_witness_keep_the_bound() {
     let start = Instant::now();
     let mut lone = vec![Limiters::default(); 330];
     let mut load = Load::new(330, 3, start);
@@ -225,7 +225,7 @@
         });
     }
     let most = most_in_a_second(&mut load.arrivals);
-    assert!((10..=60).contains(&most), "{most} in a second");
+    assert!((5..=ALLOWED).contains(&most), "{most} in a second");
 }
 
 /// A lost reply is asked for again and must not use up a second permit; a request that was
@@ -266,7 +266,16 @@
             limiters.request(lifetime, id(1, lifetime), pace, Duration::ZERO, now);
         }
     }
-    assert!(std::mem::size_of_val(&limiters) < 1_024);
+    // The first ones are forgotten.
+    let pace = Pace::new(1.0, 1.0);
+    let mut limiters = Limiters::default();
+    let mut request = |lifetime, n| limiters.request(lifetime, id(1, n), pace, Duration::ZERO, now);
+    assert_eq!(request(0, 0), Permit::Granted);
+    assert_eq!(request(0, 1), Permit::Denied(SECOND));
+    for lifetime in 1..=256 {
+        assert_eq!(request(lifetime, 0), Permit::Granted);
+    }
+    assert_eq!(request(0, 2), Permit::Granted);
 }
 
 fn engine_target(id: &str, n: u8, data_center: &str, started: u64) -> Entry<Target> {
