--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -156,8 +156,8 @@
             }
             let is_cold = !tracker.left(now).is_zero();
             let pace = BOUND.pace(COLD.rate);
-            // Warm, it gets 100 requests a second.
-            if !is_cold && n % 5 != 0 {
+            // Warm, it gets 250 requests a second.
+            if !is_cold && n % 2 != 0 {
                 continue;
             }
             let before = load.arrivals.len();
