--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -15,8 +15,8 @@
 use crate::gateway::Gateway;
 use crate::gateway::waiting;
 use crate::node::message::{
-    self, Body, PermitReply, PermitRequest, RateLimit, SlotRelease, SlotReply, SlotRequest,
-    Subscribe,
+    self, Body, ColdRequest, PermitReply, PermitRequest, RateLimit, SlotRelease, SlotReply,
+    SlotRequest, Subscribe,
 };
 use crate::place::handover::HostProcess;
 use crate::place::pool::{AgentState, TargetKey};
@@ -152,6 +152,11 @@
         self.next_id.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Random id of this process.
+    pub(super) fn gateway_id(&self) -> u64 {
+        self.gateway_id
+    }
+
     /// Address from which this gateway sends; `None` if the socket fails.
     pub(super) fn own_address(&self) -> Option<SocketAddr> {
         self.socket.local_addr().ok()
@@ -167,6 +172,11 @@
         self.send_release(target, request_id, false);
     }
 
+    /// Tells the host of `target` that a request was not sent or was declined.
+    pub fn cancel(&self, target: SocketAddr, request_id: u64) {
+        self.send_release(target, request_id, true);
+    }
+
     fn send_release(&self, target: SocketAddr, request_id: u64, is_unused: bool) {
         let release = SlotRelease {
             gateway_id: self.gateway_id,
@@ -249,13 +259,35 @@
             request_id,
             limit,
         };
+        self.exchange_permit(keeper, request_id, &Body::PermitRequest(request))
+            .await
+    }
+
+    /// Requests a permit for a cold target from the host of `witness`; `None` when it does not
+    /// reply.
+    pub async fn request_cold_permit(
+        &self,
+        witness: SocketAddr,
+        request: ColdRequest,
+    ) -> Option<PermitReply> {
+        let body = Body::ColdRequest(request);
+        self.exchange_permit(witness, request.request_id, &body)
+            .await
+    }
+
+    async fn exchange_permit(
+        &self,
+        keeper: SocketAddr,
+        request_id: u64,
+        body: &Body,
+    ) -> Option<PermitReply> {
         let _entry = Entry {
             pending: &self.permits,
             request_id,
         };
         for _ in 0..MAX_ATTEMPTS {
             let receiver = self.permits.add(request_id);
-            self.send(keeper, Body::PermitRequest(request));
+            self.send(keeper, body.clone());
             if let Ok(Ok(reply)) = time::timeout(REPLY_TIMEOUT, receiver).await {
                 return Some(reply);
             }
@@ -279,18 +311,33 @@
     }
 
     /// Subscribes at once to hosts that are not among `subscribed`, which is sorted, so that a
-    /// gateway that starts knows what they know when it begins to serve. Returns all hosts.
+    /// gateway that starts knows what they know when it begins to serve, and to those of engines
+    /// that restarted: a cold engine gets nothing until its host has reported. Returns all hosts.
     pub(super) fn subscribe_to_new(&self, subscribed: &[SocketAddr]) -> Vec<SocketAddr> {
         let mut targets = self.engine_addresses();
         targets.sort_unstable();
+        let unreported = self.unreported_addresses();
         for target in &targets {
-            if subscribed.binary_search(target).is_err() {
+            let is_new = subscribed.binary_search(target).is_err();
+            if is_new || unreported.binary_search(target).is_ok() {
                 self.agents.subscribe(*target);
             }
         }
         targets
     }
 
+    /// Addresses of the cold targets without a report of their host, sorted.
+    fn unreported_addresses(&self) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let pool = self.pool.lock();
+        let unreported = pool
+            .iter()
+            .filter(|(_, e)| e.state.is_none() && !e.cold.left(now).is_zero());
+        let mut addresses: Vec<SocketAddr> = unreported.map(|(_, e)| e.target.address).collect();
+        addresses.sort_unstable();
+        addresses
+    }
+
     /// Addresses of the targets that are model engines.
     fn engine_addresses(&self) -> Vec<SocketAddr> {
         let Some(config) = self.catalog.snapshot().config.clone() else {
--- a/src/node/freshness.rs
+++ b/src/node/freshness.rs
@@ -37,6 +37,8 @@
     ///     weights_ms: 8_000,
     ///     config_ms: 4_000,
     ///     evacuation_ms: None,
+    ///     cold_overage: None,
+    ///     cold_slack: None,
     /// };
     /// let cadence = Cadence::of(Topic::Config, &bounds);
     /// assert_eq!(cadence.limit(), Duration::from_secs(3));
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
+use crate::place::cold;
 use crate::settings::{Error, Log, ParseSnafu, ReadSnafu};
 
 /// Role of a node.
@@ -98,6 +99,12 @@
     /// milliseconds. Without it, evacuations are not followed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub evacuation_ms: Option<u64>,
+    /// Multiple of its rate that a cold target may get in a second.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_overage: Option<f64>,
+    /// Requests beyond it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_slack: Option<f64>,
 }
 
 /// Time for a change of the configuration in deployments that state none, milliseconds.
@@ -118,6 +125,15 @@
         self.evacuation_ms.map(Duration::from_millis)
     }
 
+    /// Bound on the requests to cold targets; deployments that state none get the plain rate.
+    #[must_use]
+    pub fn cold(&self) -> cold::Bound {
+        cold::Bound {
+            overage: self.cold_overage.unwrap_or(1.0),
+            slack: self.cold_slack.unwrap_or(0.0),
+        }
+    }
+
     /// Time from SIGTERM to SIGKILL.
     #[must_use]
     pub fn stop_limit(&self) -> Duration {
@@ -166,6 +182,14 @@
         if self.bounds.evacuation_ms == Some(0) {
             return Err(("bounds.evacuation_ms", "must be greater than 0"));
         }
+        let is_bad =
+            |value: Option<f64>, least: f64| value.is_some_and(|v| !v.is_finite() || v < least);
+        if is_bad(self.bounds.cold_overage, 1.0) {
+            return Err(("bounds.cold_overage", "must be at least 1"));
+        }
+        if is_bad(self.bounds.cold_slack, 0.0) {
+            return Err(("bounds.cold_slack", "must not be negative"));
+        }
         if self.link_mbps.is_nan() || self.link_mbps <= 0.0 {
             return Err(("link_mbps", "must be greater than 0"));
         }
--- a/src/place.rs
+++ b/src/place.rs
@@ -3,6 +3,7 @@
 
 pub mod backlog;
 pub mod backoff;
+pub mod cold;
 pub mod death;
 pub mod eligibility;
 pub mod forecast;
--- a/standins/tests/soak_platform.rs
+++ b/standins/tests/soak_platform.rs
@@ -138,6 +138,8 @@
                 weights_ms: 8_000,
                 config_ms: 2_000,
                 evacuation_ms: None,
+                cold_overage: None,
+                cold_slack: None,
             },
             metrics: Some(address(9464)),
             log: settings::Log::default(),
--- a/standins/tests/support/users_fleet.rs
+++ b/standins/tests/support/users_fleet.rs
@@ -42,6 +42,8 @@
         weights_ms: 8_000,
         config_ms: 2_000,
         evacuation_ms: None,
+        cold_overage: None,
+        cold_slack: None,
     }
 }
 
--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -208,6 +208,8 @@
         weights_ms: 8_000,
         config_ms: 2_000,
         evacuation_ms: None,
+        cold_overage: None,
+        cold_slack: None,
     };
     let contact = StoreContact::new(&bounds);
     let start = Instant::now();
@@ -239,6 +241,8 @@
             weights_ms,
             config_ms,
             evacuation_ms: None,
+            cold_overage: None,
+            cold_slack: None,
         };
         for topic in [Topic::Config, Topic::Targets] {
             let limit = Cadence::of(topic, &bounds).limit();
