Share full engines by priority

Hosts granted a slot when the expected wait was within 0.4 of a request's own objective, so in overload the class with the loosest objective took each slot that became free. Streams that could not end before their deadline held slots until they were cut off.

place::order orders requests by priority while all can be served. While over 5 in 100 are refused, it gives each priority a minimum share and the rest in order of urgency. The host replies with the urgency for the engine's queue. Requests whose predicted end is past the deadline are refused, with the outcome "too long" if no engine could do it.

Ruled out: stretched waits alone, which refuse all less urgent requests that must wait, and slots reserved by configuration.

--- a/src/gateway/agents_test.rs
+++ b/src/gateway/agents_test.rs
@@ -75,6 +75,8 @@
             is_granted: true,
             state: None,
             limit_ms: 0,
+            urgency: None,
+            is_too_long: false,
         };
         client.slots.resolve(request.request_id, reply);
     };
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -37,12 +37,16 @@
 const CANCEL_MARGIN: Duration = Duration::from_millis(50);
 /// Urgency that targets assume for a request without this header.
 const DEFAULT_URGENCY: u8 = 5;
+/// Largest urgency, of the requests that targets admit last.
+const MAX_URGENCY: u8 = 9;
 
 /// Why a request got no target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PlacementError {
     /// All targets that were asked are full.
     Full,
+    /// The request can't end before its deadline.
+    TooLong,
     /// The request crashes targets.
     CrashesTargets,
     /// The rate limits of all targets leave no room; the time until one does.
@@ -211,7 +215,7 @@
                 priority: call.priority,
                 objective: call.route().objective,
                 prompt_tokens: call.caller_headers.prompt_tokens,
-                output_tokens: call.caller_headers.output_tokens,
+                output_tokens: expected_output(call, trace),
                 left: call.deadline.saturating_duration_since(now),
                 is_returning: false,
                 immediate_only,
@@ -225,14 +229,18 @@
             let verdict = match &reply {
                 Some(reply) if reply.is_granted => "granted",
                 Some(reply) if reply.limit_ms > 0 => "limited",
+                Some(reply) if reply.is_too_long => "too long",
                 Some(_) => "refused",
                 None => "silent",
             };
             counter!("corianderramp_gateway_asks_total", "verdict" => verdict).increment(1);
             match reply {
                 Some(reply) if reply.is_granted => {
-                    return Ok(SlotGuard::begin(self, key, address, Some(request_id)));
+                    let mut slot = SlotGuard::begin(self, key, address, Some(request_id));
+                    slot.urgency = reply.urgency.and_then(|u| u8::try_from(u).ok());
+                    return Ok(slot);
                 }
+                Some(reply) if reply.is_too_long => return Err(PlacementError::TooLong),
                 Some(reply) if reply.limit_ms > 0 => {
                     self.record_limited(key, Duration::from_millis(reply.limit_ms.into()));
                 }
@@ -285,7 +293,7 @@
             weights,
             account: call.account.as_deref(),
             timeout: end.saturating_duration_since(self.clock.now()),
-            urgency: call.has_engine().then(|| urgency(call.priority)),
+            urgency: call.has_engine().then(|| urgency(call, &slot)),
             last_event,
         };
         let mut message = Request::new(Full::new(call.body.clone()));
@@ -374,8 +382,19 @@
     catalog.release_history(model)
 }
 
-/// Urgency in the target's queue for a priority. Priorities are small numbers; larger ones
-/// get the default urgency.
-fn urgency(priority: u8) -> u8 {
-    priority.min(DEFAULT_URGENCY)
+/// Expected output of a request, tokens; 0 after an attempt that may have run, because it is not
+/// known how much of the answer is left.
+fn expected_output(call: &Call, trace: &Mutex<Trace>) -> u32 {
+    if trace.lock().sends > 0 {
+        0
+    } else {
+        call.caller_headers.output_tokens
+    }
+}
+
+/// Urgency in the target's queue, 0 to 9: the one that the target's host gave with the slot, or
+/// else the priority. Priorities are small numbers; larger ones get the default urgency.
+fn urgency<C: Clock>(call: &Call, slot: &SlotGuard<C>) -> u8 {
+    let own = call.priority.min(DEFAULT_URGENCY);
+    slot.urgency.map_or(own, |u| u.min(MAX_URGENCY))
 }
--- a/src/gateway/guard.rs
+++ b/src/gateway/guard.rs
@@ -21,6 +21,8 @@
     pub lifetime: u64,
     /// Request id of the slot that the host granted; `None` without a grant.
     request_id: Option<u64>,
+    /// Urgency in the target's queue that the host gave with the slot.
+    pub urgency: Option<u8>,
 }
 
 impl<C: Clock> SlotGuard<C> {
@@ -38,6 +40,7 @@
             address,
             lifetime,
             request_id,
+            urgency: None,
         }
     }
 
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -371,6 +371,7 @@
         let outcome = match error {
             PlacementError::CrashesTargets => return CRASHES_TARGETS,
             PlacementError::Full => "no place",
+            PlacementError::TooLong => "too long",
             PlacementError::RateLimited(_) => "rate limited",
             PlacementError::AskedToWait(_) => "asked to wait",
             PlacementError::NoTarget if trace.sends > 0 => "declined",
--- a/src/host.rs
+++ b/src/host.rs
@@ -285,6 +285,7 @@
                 } else {
                     slots.resize(engine.slots);
                 }
+                slots.order_mut().set_engine(engine);
             }
             applied = engine;
             if updates.changed().await.is_err() {
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use log::{info, warn};
+use metrics::counter;
 use tokio::time;
 
 use crate::clock::Clock;
@@ -17,6 +18,8 @@
 const MAX_DATAGRAM: usize = 2_048;
 /// Time after which the subscription of a gateway that doesn't renew it expires.
 const SUBSCRIPTION_TTL: Duration = Duration::from_secs(5);
+/// Less urgent priorities count as this one in metrics.
+const LAST_PRIORITY: u8 = 4;
 /// Delay after a failed receive.
 const RECEIVE_RETRY: Duration = Duration::from_millis(25);
 
@@ -97,6 +100,8 @@
                 is_granted: false,
                 state: Some(self.state()),
                 limit_ms: limits::wait_millis(wait),
+                urgency: None,
+                is_too_long: false,
             };
         }
         let slot_request = SlotRequest {
@@ -109,7 +114,7 @@
             left: Duration::from_millis(request.left_ms.into()),
             is_returning: request.is_returning,
         };
-        let decision = self.slots.lock().request(&slot_request, now);
+        let (decision, urgency) = self.request_slot(&slot_request, now);
         let is_granted = decision == Decision::Granted;
         if !is_granted {
             self.limits.lock().cancel(request.lifetime, id);
@@ -119,9 +124,34 @@
             is_granted,
             state: Some(self.state()),
             limit_ms: 0,
+            urgency: urgency.map(u32::from),
+            is_too_long: decision == Decision::TooLong,
         }
     }
 
+    /// Asks the table of slots. Returns its decision, and the urgency of a granted request.
+    fn request_slot(&self, request: &SlotRequest, now: Instant) -> (Decision, Option<u8>) {
+        let mut slots = self.slots.lock();
+        let was_shared = slots.order().is_shared(now);
+        let decision = slots.request(request, now);
+        let urgency = slots.order().urgency();
+        let is_shared = slots.order().is_shared(now);
+        drop(slots);
+        if is_shared && !was_shared {
+            info!(priority = request.priority; "overload, slots are shared by priority");
+        }
+        let verdict = match decision {
+            Decision::Granted => "granted",
+            Decision::Full(_) => "full",
+            Decision::Closed => "closed",
+            Decision::TooLong => "too long",
+        };
+        let priority = request.priority.min(LAST_PRIORITY).to_string();
+        counter!("corianderramp_host_slots_total", "priority" => priority, "verdict" => verdict)
+            .increment(1);
+        (decision, urgency)
+    }
+
     /// Renews the subscription of a gateway; returns whether its process is a new one.
     fn subscribe_gateway(&self, address: SocketAddr, gateway_id: u64, now: Instant) -> bool {
         let mut gateways = self.gateways.lock();
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -225,6 +225,12 @@
     /// a refusal.
     #[prost(uint32, tag = "5")]
     pub limit_ms: u32,
+    /// Urgency in the target's queue, 0 to 9; `None` if the request's priority decides.
+    #[prost(uint32, optional, tag = "6")]
+    pub urgency: Option<u32>,
+    /// Whether the request can't end before its deadline, at this target or another one.
+    #[prost(bool, tag = "7")]
+    pub is_too_long: bool,
 }
 
 /// Release of a slot whose request has ended.
--- a/src/place.rs
+++ b/src/place.rs
@@ -8,6 +8,7 @@
 pub mod handover;
 pub mod idle;
 pub mod limit;
+pub mod order;
 pub mod pace;
 pub mod patience;
 pub mod pool;
--- a/src/place/slots.rs
+++ b/src/place/slots.rs
@@ -13,6 +13,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::place::order::{Order, Outlook, Verdict};
+
 /// Time within which a granted request has reached its target or was abandoned.
 const ARRIVAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Age at which a grant is dropped, in case its release was lost.
@@ -72,6 +74,8 @@
     Granted,
     /// The request would wait too long, for about the given time.
     Full(Duration),
+    /// The request can't end before its deadline, at this target or another one.
+    TooLong,
     /// The target accepts no requests now.
     Closed,
 }
@@ -98,6 +102,7 @@
     /// When the target gave its first report after a silence.
     heard_since: Option<Instant>,
     is_open: bool,
+    order: Order,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -122,6 +127,7 @@
             silent_since: None,
             heard_since: None,
             is_open: false,
+            order: Order::default(),
         }
     }
 
@@ -130,6 +136,17 @@
         self.slots = slots;
     }
 
+    /// Order of the requests that ask for slots.
+    #[must_use]
+    pub fn order(&self) -> &Order {
+        &self.order
+    }
+
+    /// Order of the requests, to set the parameters of the engine.
+    pub fn order_mut(&mut self) -> &mut Order {
+        &mut self.order
+    }
+
     /// Sets whether the target accepts new requests.
     pub fn set_open(&mut self, is_open: bool) {
         self.is_open = is_open;
@@ -196,6 +213,7 @@
     /// Grants or refuses a slot. A repeated request for a granted slot is granted again and
     /// takes no second one.
     pub fn request(&mut self, request: &SlotRequest, now: Instant) -> Decision {
+        self.order.clear_urgency();
         if !self.is_open {
             return Decision::Closed;
         }
@@ -203,22 +221,25 @@
             return Decision::Granted;
         }
         let wait = self.expected_wait(now);
-        let may_wait = |silence: Duration| {
+        if let Some(silence) = self.silence(now) {
             let limit = request.objective * SILENCE_OBJECTIVES;
-            !request.immediate_only && silence < limit && self.active() < self.slots
-        };
-        let limit = if request.immediate_only {
-            MAX_IMMEDIATE_WAIT
+            let may_wait = !request.immediate_only && silence < limit && self.active() < self.slots;
+            if !may_wait {
+                return Decision::Full(wait);
+            }
         } else {
-            let levels = DEFAULT_PRIORITY.saturating_sub(request.priority);
-            request.objective.mul_f64(MAX_WAIT_SHARE) + self.turnover() * u32::from(levels)
-        };
-        let is_full = match self.silence(now) {
-            Some(silence) => !may_wait(silence),
-            None => wait > limit,
-        };
-        if is_full {
-            return Decision::Full(wait);
+            let outlook = Outlook {
+                wait,
+                limit: self.wait_limit(request),
+                turnover: self.turnover(),
+                slots: self.slots,
+                active: self.active(),
+            };
+            match self.order.decide(request, &outlook, now) {
+                Verdict::Granted => {}
+                Verdict::Full(wait) => return Decision::Full(wait),
+                Verdict::TooLong => return Decision::TooLong,
+            }
         }
         let prefill = Duration::from_secs_f64(f64::from(request.prompt_tokens) / self.prefill_rate);
         self.prefill_end = Some(self.prefill_end.map_or(now, |at| at.max(now)) + prefill);
@@ -232,6 +253,15 @@
         Decision::Granted
     }
 
+    /// Longest wait with which a request still meets its objective.
+    fn wait_limit(&self, request: &SlotRequest) -> Duration {
+        if request.immediate_only {
+            return MAX_IMMEDIATE_WAIT;
+        }
+        let levels = DEFAULT_PRIORITY.saturating_sub(request.priority);
+        request.objective.mul_f64(MAX_WAIT_SHARE) + self.turnover() * u32::from(levels)
+    }
+
     /// Frees the slot of a request that has ended.
     pub fn release(&mut self, id: GrantId, now: Instant) {
         let Some(grant) = self.remove(id) else { return };
@@ -292,6 +322,7 @@
         self.ungranted = 0;
         self.silent_since = None;
         self.heard_since = None;
+        self.order.reset();
     }
 
     fn find(&self, id: GrantId) -> Result<usize, usize> {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -67,7 +67,7 @@
 
 /// All metrics that the processes export. docs/operations/metrics.md says what to do
 /// when one of them changes.
-pub const METRICS: [Metric; 29] = [
+pub const METRICS: [Metric; 30] = [
     Metric {
         name: REQUESTS_TOTAL,
         kind: Type::Counter,
@@ -212,6 +212,12 @@
         labels: &["verdict"],
         help: "Places asked for at hosts: granted, refused or silent",
     },
+    Metric {
+        name: "corianderramp_host_slots_total",
+        kind: Type::Counter,
+        labels: &["priority", "verdict"],
+        help: "Requests for slots that a host decided: granted, full, closed or too long",
+    },
     Metric {
         name: CATALOG_REVISION,
         kind: Type::Gauge,
