--- a/src/gateway/guard.rs
+++ b/src/gateway/guard.rs
@@ -23,6 +23,8 @@
     request_id: Option<u64>,
     /// Whether the target did not take the request.
     is_declined: bool,
+    /// Urgency in the target's queue that the host gave with the slot.
+    pub urgency: Option<u8>,
 }
 
 impl<C: Clock> SlotGuard<C> {
@@ -41,6 +43,7 @@
             lifetime,
             request_id,
             is_declined: false,
+            urgency: None,
         }
     }
 
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -381,6 +381,7 @@
             PlacementError::Stopping => return STOPPING,
             PlacementError::Full => "no place",
             PlacementError::Evacuated => EVACUATED,
+            PlacementError::TooLong => "too long",
             PlacementError::RateLimited(_) => "rate limited",
             PlacementError::AskedToWait(_) => "asked to wait",
             PlacementError::NoTarget if trace.sends > 0 => "declined",
--- a/src/place/slots.rs
+++ b/src/place/slots.rs
@@ -19,6 +19,7 @@
 use crate::fleet::Engine;
 use crate::place::backlog::Backlog;
 use crate::place::forecast::Forecast;
+use crate::place::order::{Order, Outlook, Verdict};
 
 /// Time within which a granted request has reached its target or was abandoned.
 const ARRIVAL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -87,6 +88,8 @@
     Granted,
     /// The request would wait too long, for about the given time.
     Full(Duration),
+    /// The request can't end before its deadline, at this target or another one.
+    TooLong,
     /// The target accepts no requests now.
     Closed,
 }
@@ -118,6 +121,7 @@
     /// Moving averages of the granted shares of long prompts and of the others.
     granted_long: f64,
     granted_short: f64,
+    order: Order,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -145,6 +149,7 @@
             is_open: false,
             granted_long: 1.0,
             granted_short: 1.0,
+            order: Order::default(),
         }
     }
 
@@ -155,6 +160,8 @@
         if let Some(forecast) = &mut self.forecast {
             forecast.set_pace(self.backlog.pace());
         }
+        self.order.set_engine(engine);
+        self.order.set_pace(self.backlog.pace());
         self.slots = engine.slots;
     }
 
@@ -164,6 +171,7 @@
         if let Some(forecast) = &mut self.forecast {
             forecast.set_pace(pace);
         }
+        self.order.set_pace(pace);
     }
 
     /// Returns the time until the target has read all granted prompts.
@@ -177,6 +185,17 @@
         self.slots = slots;
     }
 
+    /// Order of the requests that ask for slots.
+    #[must_use]
+    pub fn order(&self) -> &Order {
+        &self.order
+    }
+
+    /// Order of the requests, to set the parameters of the engine.
+    pub fn order_mut(&mut self) -> &mut Order {
+        &mut self.order
+    }
+
     /// Sets whether the target accepts new requests.
     pub fn set_open(&mut self, is_open: bool) {
         self.is_open = is_open;
@@ -302,6 +321,7 @@
     /// Grants or refuses a slot. A repeated request for a granted slot is granted again and
     /// takes no second one.
     pub fn request(&mut self, request: &SlotRequest, now: Instant) -> Decision {
+        self.order.clear_urgency();
         if !self.is_open {
             return Decision::Closed;
         }
@@ -309,18 +329,27 @@
             return Decision::Granted;
         }
         let wait = self.expected_wait(now);
-        let may_wait = |silence: Duration| {
+        if let Some(silence) = self.silence(now) {
             let limit = request.objective * SILENCE_OBJECTIVES;
-            !request.immediate_only && silence < limit && self.active() < self.slots
-        };
-        let limit = self.limit(request);
-        let is_full = match self.silence(now) {
-            Some(silence) => !may_wait(silence),
-            None => wait > limit,
-        };
-        self.record_decision(request, !is_full);
-        if is_full {
-            return Decision::Full(wait);
+            let may_wait = !request.immediate_only && silence < limit && self.active() < self.slots;
+            if !may_wait {
+                return Decision::Full(wait);
+            }
+        } else {
+            let outlook = Outlook {
+                wait,
+                limit: self.limit(request),
+                turnover: self.turnover().mul_f64(self.backlog.pace()),
+                slots: self.slots,
+                active: self.active(),
+            };
+            let verdict = self.order.decide(request, &outlook, now);
+            self.record_decision(request, verdict == Verdict::Granted);
+            match verdict {
+                Verdict::Granted => {}
+                Verdict::Full(wait) => return Decision::Full(wait),
+                Verdict::TooLong => return Decision::TooLong,
+            }
         }
         self.backlog.add(self.reading(request.prompt_tokens), now);
         if let Err(index) = self.find(request.id) {
@@ -398,6 +427,7 @@
         self.backlog.clear();
         self.silent_since = None;
         self.heard_since = None;
+        self.order.reset();
     }
 
     fn find(&self, id: GrantId) -> Result<usize, usize> {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -69,7 +69,7 @@
 
 /// All metrics that the processes export. docs/operations/metrics.md says what to do
 /// when one of them changes.
-pub const METRICS: [Metric; 32] = [
+pub const METRICS: [Metric; 33] = [
     Metric {
         name: REQUESTS_TOTAL,
         kind: Type::Counter,
@@ -226,6 +226,12 @@
         labels: &["result"],
         help: "Ended waits of returning callers for a place, by result",
     },
+    Metric {
+        name: "corianderramp_host_slots_total",
+        kind: Type::Counter,
+        labels: &["priority", "verdict"],
+        help: "Requests for slots that a host decided: granted, full, closed or too long",
+    },
     Metric {
         name: CATALOG_REVISION,
         kind: Type::Gauge,
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -321,6 +321,7 @@
     let now = Instant::now();
     let mut pool = Pool::default();
     let needs = Requirements {
+        timing: None,
         service: "llm",
         excluded: &[],
         min_version: Some(1),
