--- a/tests/evacuations.rs
+++ b/tests/evacuations.rs
@@ -24,6 +24,8 @@
 
 fn bounds(evacuation_ms: Option<u64>) -> Bounds {
     Bounds {
+        cold_overage: None,
+        cold_slack: None,
         stop_ms: 8_000,
         weights_ms: 8_000,
         config_ms: 4_000,
@@ -249,6 +251,7 @@
         let evacuated = evacuated.iter().map(|&n| n.to_owned()).collect();
         let scope = Scope::new(None, evacuated);
         let needs = Requirements {
+            timing: None,
             service: "desk",
             excluded: &[],
             min_version: None,
