--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -22,6 +22,7 @@
 use crate::net;
 use crate::node::message::RateLimit;
 use crate::place::forecast::{Forecast, Timing};
+use crate::place::homes;
 use crate::place::limit::{Notice, Permit};
 use crate::place::patience;
 use crate::place::pool::{Requirements, TargetKey};
@@ -57,6 +58,8 @@
     RateLimited(Duration),
     /// All targets want no requests; the time until one does.
     AskedToWait(Duration),
+    /// No region that the request's homes permit has a ready target of the service.
+    NoHome,
     /// No target serves the request now, or the last attempt can't be retried.
     NoTarget,
     /// The process stops, and may exit before an answer is complete.
@@ -193,6 +196,9 @@
             let now = self.clock.now();
             // It may change while a host answers.
             let scope = self.scope(call);
+            if scope.has_homes() && trace.lock().unreachable >= homes::MAX_UNREACHABLE {
+                return Err(PlacementError::NoTarget);
+            }
             // The last slot request accepts a wait and may go to a target that refused before:
             // their replies carried their current waits.
             let immediate_only = attempts < last_request;
@@ -205,8 +211,8 @@
                 timing: self.timing(call),
             };
             let Some(selection) = self.select_target(&needs, now) else {
-                if self.is_evacuated(&needs, now) {
-                    return Err(PlacementError::Evacuated);
+                if let Some(error) = self.scope_error(&needs, trace, now) {
+                    return Err(error);
                 }
                 if attempts > 0 && attempts < last_request {
                     attempts = last_request;
@@ -334,6 +340,7 @@
                 let reason = e.to_string();
                 debug!(reason = reason.as_str(); "connecting to target failed");
                 slot.record_result(false);
+                trace.lock().unreachable += 1;
                 return Err(SendError::NotRun("no connection"));
             }
         };
@@ -397,17 +404,19 @@
     }
 
     /// Timeout for opening a connection: short only while the request could go to another
-    /// target.
+    /// target, or if the region of its homes seems to be cut off.
     fn connect_timeout(&self, call: &Call, trace: &Mutex<Trace>, now: Instant) -> Duration {
+        let scope = self.scope(call);
+        let is_doubtful = scope.has_homes() && trace.lock().unreachable > 0;
         let needs = Requirements {
             service: &call.service,
             excluded: &trace.lock().tried,
             min_version: self.required_version(call, now),
             data_center: &self.data_center,
-            scope: &self.scope(call),
+            scope: &scope,
             timing: self.timing(call),
         };
-        let limit = if self.pool.lock().has_choice(&needs, now) {
+        let limit = if is_doubtful || self.pool.lock().has_choice(&needs, now) {
             now + CONNECT_TIMEOUT
         } else {
             patience::look_time(call.route(), now, call.deadline).unwrap_or(call.deadline)
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -96,6 +96,10 @@
     pub asks: u32,
     /// Time for which the caller waited for a place.
     pub waited: Duration,
+    /// Number of attempts without a connection.
+    pub unreachable: u32,
+    /// Data centres that the homes of the request permitted when it was refused for lack of one.
+    pub permitted: Option<String>,
     /// Number of sends beside a silent target.
     pub hedges: u32,
     /// Longest silence of a target after which another one was looked for.
