Keep requests in the regions of their route and account

Routes and accounts of the configuration may name the regions that may serve their requests (allowed_regions). The lists were not read, so such requests reached any target.

Each placement now asks the newest configuration and the request's own one, and the target is checked again before and after the connection to it is opened. A malformed list permits nothing: ignoring it would send requests where the operator did not want them, and rejecting the configuration would keep all routes at the older one. Without a ready target in a permitted region the outcome is `no home`.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -55,6 +55,24 @@
         let found = self.keys.binary_search_by(|k| k.text.as_str().cmp(key));
         found.ok().map(|i| &self.accounts[self.keys[i].account])
     }
+
+    /// Returns the names of the routes and accounts whose lists of regions are malformed.
+    ///
+    /// ```
+    /// use corianderramp::fleet::{Config, Route};
+    ///
+    /// let route = |name: &str, homes| Route { name: name.to_owned(), homes, ..Route::default() };
+    /// let routes = vec![route("open", None), route("malformed", Some(Vec::new()))];
+    /// let config = Config { routes, ..Config::default() };
+    /// assert!(config.malformed_homes().eq(["malformed"]));
+    /// ```
+    pub fn malformed_homes(&self) -> impl Iterator<Item = &str> {
+        let routes = self.routes.iter().map(|r| (&r.name, &r.homes));
+        let accounts = self.accounts.iter().map(|a| (&a.name, &a.homes));
+        let all = routes.chain(accounts);
+        all.filter(|(_, homes)| homes.as_ref().is_some_and(Vec::is_empty))
+            .map(|(name, _)| name.as_str())
+    }
 }
 
 /// Size and time limits for callers' requests and connections.
@@ -140,7 +158,8 @@
     pub public: bool,
     /// Services among which requests are split by weight; at least one.
     pub split: Vec<WeightedService>,
-    /// Regions that may serve the requests, sorted; `None` if any may.
+    /// Regions that may serve the requests, sorted; `None` if any may, empty if the list is
+    /// malformed, so that none may.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub homes: Option<Vec<String>>,
 }
@@ -170,7 +189,7 @@
     pub name: String,
     /// Priority that overrides the route's.
     pub priority: Option<u8>,
-    /// Regions that may serve the account's requests, sorted; `None` if any may.
+    /// Regions that may serve the account's requests, like [`Route::homes`].
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub homes: Option<Vec<String>>,
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -59,6 +59,8 @@
 pub struct Gateway<C: Clock> {
     clock: C,
     data_center: String,
+    /// Pairs of data centre and region, sorted.
+    centers: Vec<(String, String)>,
     catalog: SharedCatalog,
     store_contact: StoreContact,
     pool: Mutex<Pool>,
@@ -115,6 +117,7 @@
     let store_contact = follow::start(&settings, &catalog, &clock);
     let gateway = Arc::new(Gateway {
         data_center: settings.data_center.clone(),
+        centers: settings.data_center_regions(),
         catalog,
         store_contact,
         pool: Mutex::default(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,6 +21,7 @@
 use crate::gateway::guard::SlotGuard;
 use crate::net;
 use crate::node::message::RateLimit;
+use crate::place::homes;
 use crate::place::limit::{Notice, Permit};
 use crate::place::patience;
 use crate::place::pool::{Requirements, TargetKey};
@@ -49,6 +50,8 @@
     RateLimited(Duration),
     /// All targets want no requests; the time until one does.
     AskedToWait(Duration),
+    /// No region that the request's homes permit has a ready target of the service.
+    NoHome,
     /// No target serves the request now, or the last attempt can't be retried.
     NoTarget,
 }
@@ -152,13 +155,17 @@
         trace: &Mutex<Trace>,
     ) -> Result<SlotGuard<C>, PlacementError> {
         let min_version = self.required_version(call, self.clock.now());
-        let scope = self.scope(call);
         let tried = trace.lock().tried.clone();
         let mut refused: Vec<TargetKey> = tried.clone();
         let mut attempts = 0;
         let mut denials = 0;
         loop {
             let now = self.clock.now();
+            // It may change while a host answers.
+            let scope = self.scope(call);
+            if scope.has_homes() && trace.lock().unreachable >= homes::MAX_UNREACHABLE {
+                return Err(PlacementError::NoTarget);
+            }
             // The last slot request accepts a wait and may go to a target that refused before:
             // their replies carried their current waits.
             let immediate_only = attempts < MAX_SLOT_REQUESTS - 1;
@@ -170,6 +177,10 @@
                 scope: &scope,
             };
             let Some(selection) = self.select_target(&needs, now) else {
+                if self.pool.lock().lacks_home(&needs) {
+                    trace.lock().permitted = scope.permitted().map(|p| p.join(","));
+                    return Err(PlacementError::NoHome);
+                }
                 if attempts > 0 && attempts < MAX_SLOT_REQUESTS - 1 {
                     attempts = MAX_SLOT_REQUESTS - 1;
                     continue;
@@ -266,15 +277,22 @@
         let Some((id, weights)) = self.target_identity(slot.key, call, now) else {
             return Err(SendError::NotRun("target left"));
         };
+        if !self.is_in_scope(slot.key, call) {
+            return Err(SendError::NotRun("target out of scope"));
+        }
         let mut connection = match net::Connection::open(slot.address, limit).await {
             Ok(connection) => connection,
             Err(e) => {
                 let reason = e.to_string();
                 debug!(reason = reason.as_str(); "connecting to target failed");
                 slot.record_result(false);
+                trace.lock().unreachable += 1;
                 return Err(SendError::NotRun("no connection"));
             }
         };
+        if !self.is_in_scope(slot.key, call) {
+            return Err(SendError::NotRun("target out of scope"));
+        }
         let end = if call.is_stream() {
             call.end
         } else {
@@ -330,16 +348,18 @@
     }
 
     /// Timeout for opening a connection: short only while the request could go to another
-    /// target.
+    /// target, or if the region of its homes seems to be cut off.
     fn connect_timeout(&self, call: &Call, trace: &Mutex<Trace>, now: Instant) -> Duration {
+        let scope = self.scope(call);
+        let is_doubtful = scope.has_homes() && trace.lock().unreachable > 0;
         let needs = Requirements {
             service: &call.service,
             excluded: &trace.lock().tried,
             min_version: self.required_version(call, now),
             data_center: &self.data_center,
-            scope: &self.scope(call),
+            scope: &scope,
         };
-        let limit = if self.pool.lock().has_choice(&needs, now) {
+        let limit = if is_doubtful || self.pool.lock().has_choice(&needs, now) {
             now + CONNECT_TIMEOUT
         } else {
             patience::look_time(call.route(), now, call.deadline).unwrap_or(call.deadline)
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -92,6 +92,10 @@
     pub sends: u32,
     /// Number of slot requests to hosts.
     pub asks: u32,
+    /// Number of attempts without a connection.
+    pub unreachable: u32,
+    /// Data centres that the homes of the request permitted when it was refused for lack of one.
+    pub permitted: Option<String>,
     /// Number of sends beside a silent target.
     pub hedges: u32,
     /// Longest silence of a target after which another one was looked for.
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -144,6 +144,7 @@
             silence = millis(trace.silence),
             left = self.end.map(|at| millis(at.saturating_duration_since(now))),
             reason = trace.reason,
+            permitted = trace.permitted.as_deref(),
             parts = parts.as_str(),
             fingerprint = fingerprint.as_str(),
             config = self.config_version;
@@ -206,6 +207,8 @@
 
 /// Outcome when no target serves the request.
 const NO_TARGET: &str = "no target";
+/// Outcome when no region that the request's homes permit has a target that serves.
+const NO_HOME: &str = "no home";
 /// Outcome of a stream whose target failed, with no other one to continue it.
 pub(super) const BROKEN_OFF: &str = "broken off";
 /// Outcome of a stream whose target was silent until the caller's time ended.
@@ -373,6 +376,7 @@
             PlacementError::Full => "no place",
             PlacementError::RateLimited(_) => "rate limited",
             PlacementError::AskedToWait(_) => "asked to wait",
+            PlacementError::NoHome => NO_HOME,
             PlacementError::NoTarget if trace.sends > 0 => "declined",
             PlacementError::NoTarget => NO_TARGET,
         };
@@ -380,7 +384,7 @@
         let draw = rand::rng().random();
         let mut refusals = self.refusals.lock();
         refusals.record(false, now);
-        let wait = if outcome == NO_TARGET {
+        let wait = if [NO_TARGET, NO_HOME].contains(&outcome) {
             RefusalRate::retry_after_outage(left, draw)
         } else {
             refusals.retry_after(left, draw)
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
+use log::warn;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::fleet::Config;
 use crate::fleet::catalog::Catalog;
 
 pub mod eras;
@@ -16,6 +18,9 @@
 pub mod settings;
 pub mod stop;
 
+/// Maximum number of routes and accounts that a warning names.
+const MAX_LOGGED_NAMES: usize = 8;
+
 /// Errors that stop a node from running.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -75,6 +80,23 @@
         self.sender
             .send_if_modified(|catalog| change(Arc::make_mut(catalog)))
     }
+
+    /// Adopts a configuration unless a newer one is known; returns whether it did. Warns once for
+    /// each version of malformed lists of regions.
+    pub fn update_config(&self, revision: u64, config: Config) -> bool {
+        let version = config.version;
+        let malformed: Vec<String> = config.malformed_homes().map(str::to_owned).collect();
+        let before = self.snapshot();
+        let is_known = before.config.as_ref().is_some_and(|c| c.version == version);
+        drop(before);
+        let applied = self.update(|c| c.update_config(revision, config));
+        if applied && !is_known && !malformed.is_empty() {
+            let count = malformed.len();
+            let names = malformed[..count.min(MAX_LOGGED_NAMES)].join(",");
+            warn!(version, count, names = names.as_str(); "lists of regions are malformed, no region is permitted");
+        }
+        applied
+    }
 }
 
 /// Listener for the metrics endpoint, if `address` is set.
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -411,7 +411,7 @@
             Topic::Config => match decode::config(event.object.spec) {
                 Ok(config) => {
                     let version = config.version;
-                    let applied = self.catalog.update(|c| c.update_config(revision, config));
+                    let applied = self.catalog.update_config(revision, config);
                     let (era, revision) = (revision::era(revision), revision::number(revision));
                     info!(topic = "config", version, era, revision, applied; "config received");
                 }
--- a/src/node/relay/codec.rs
+++ b/src/node/relay/codec.rs
@@ -316,7 +316,7 @@
             };
             if let Some(config) = config {
                 let version = config.version;
-                let applied = catalog.update(|c| c.update_config(revision, config));
+                let applied = catalog.update_config(revision, config);
                 let (era, revision) = (revision::era(revision), revision::number(revision));
                 info!(topic = "config", version, era, revision, applied, from = "scout"; "config received");
             }
--- a/src/place.rs
+++ b/src/place.rs
@@ -6,6 +6,7 @@
 pub mod eligibility;
 pub mod forecast;
 pub mod handover;
+pub mod homes;
 pub mod idle;
 pub mod limit;
 pub mod pace;
--- a/src/place/pool.rs
+++ b/src/place/pool.rs
@@ -398,6 +398,15 @@
         shortest
     }
 
+    /// Returns whether the request has homes and no data centre there has a ready target of the
+    /// service, evacuated or not.
+    #[must_use]
+    pub fn lacks_home(&self, needs: &Requirements<'_>) -> bool {
+        let is_home =
+            |e: &Entry| is_ready(e, needs.service) && needs.scope.is_home(&e.target.data_center);
+        needs.scope.has_homes() && !self.entries.values().any(is_home)
+    }
+
     /// Returns whether some ready target of the service has the weights that the request needs.
     #[must_use]
     pub fn can_serve(&self, needs: &Requirements<'_>, now: Instant) -> bool {
@@ -411,11 +420,14 @@
     }
 }
 
+/// Whether the target serves the service and does not leave.
+fn is_ready(entry: &Entry, service: &str) -> bool {
+    entry.target.service == service && entry.target.phase == Phase::Ready
+}
+
 /// Whether the target serves the service, may serve the request and does not leave.
 fn is_candidate(entry: &Entry, needs: &Requirements<'_>) -> bool {
-    entry.target.service == needs.service
-        && entry.target.phase == Phase::Ready
-        && needs.scope.allows(&entry.target.data_center)
+    is_ready(entry, needs.service) && needs.scope.allows(&entry.target.data_center)
 }
 
 /// Whether the target can take a request, as far as the gateway knows, if it may be asked.
--- a/src/place/scope.rs
+++ b/src/place/scope.rs
@@ -40,14 +40,41 @@
         }
     }
 
+    /// Returns whether homes restrict the request to some data centres.
+    #[must_use]
+    pub fn has_homes(&self) -> bool {
+        self.permitted.is_some()
+    }
+
+    /// Returns the data centres that the homes of the request permit; `None` if they permit all.
+    #[must_use]
+    pub fn permitted(&self) -> Option<&[String]> {
+        self.permitted.as_deref()
+    }
+
+    /// Returns whether the homes of the request permit `data_center`, evacuated or not.
+    ///
+    /// ```
+    /// use corianderramp::place::scope::Scope;
+    ///
+    /// let scope = Scope::new(Some(vec!["a".to_owned()]), vec!["a".to_owned()]);
+    /// assert!(scope.is_home("a") && !scope.allows("a"));
+    /// assert!(!scope.is_home("b"));
+    /// ```
+    #[must_use]
+    pub fn is_home(&self, data_center: &str) -> bool {
+        let permitted = self.permitted.as_deref();
+        permitted.is_none_or(|names| contains(names, data_center))
+    }
+
     /// Returns whether targets in `data_center` may serve the request.
     #[must_use]
     pub fn allows(&self, data_center: &str) -> bool {
-        let has = |names: &[String]| {
-            names
-                .binary_search_by(|n| n.as_str().cmp(data_center))
-                .is_ok()
-        };
-        self.permitted.as_deref().is_none_or(has) && !has(&self.evacuated)
+        self.is_home(data_center) && !contains(&self.evacuated, data_center)
     }
 }
+
+/// Whether the sorted `names` have `name`.
+fn contains(names: &[String], name: &str) -> bool {
+    names.binary_search_by(|n| n.as_str().cmp(name)).is_ok()
+}
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -41,6 +41,7 @@
     public: bool,
     #[serde(default)]
     stream_resume: bool,
+    allowed_regions: Option<Value>,
 }
 
 #[derive(Deserialize)]
@@ -103,6 +104,7 @@
     #[serde(default)]
     api_keys: Vec<String>,
     priority: Option<u8>,
+    allowed_regions: Option<Value>,
 }
 
 /// Registration of a target in the store.
@@ -161,7 +163,7 @@
         accounts.push(Account {
             name: account.name,
             priority: account.priority,
-            homes: None,
+            homes: homes(account.allowed_regions),
         });
     }
     keys.sort_by(|a, b| a.text.cmp(&b.text));
@@ -218,10 +220,23 @@
         max_attempts: wire.max_attempts.unwrap_or(1),
         public: wire.public,
         split: split.unwrap_or_else(|| single.into_iter().collect()),
-        homes: None,
+        homes: homes(wire.allowed_regions),
     }
 }
 
+/// Decodes the regions that may serve requests; `None` if the list is missing or empty. A
+/// malformed list permits no region, because the operator meant a restriction.
+fn homes(wire: Option<Value>) -> Option<Vec<String>> {
+    let list = wire?;
+    if list.as_array().is_some_and(Vec::is_empty) {
+        return None;
+    }
+    let mut regions: Vec<String> = serde_json::from_value(list).unwrap_or_default();
+    regions.sort_unstable();
+    regions.dedup();
+    Some(regions)
+}
+
 /// Converts a weight to thousandths, because weights may be fractions.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn weight(wire: f64) -> u32 {
