--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -89,6 +89,7 @@
     /// Permits for cold targets that have no witness.
     cold_permits: Mutex<Limiters>,
     bounds: crate::node::settings::Bounds,
+    placement: crate::node::settings::Placement,
     /// Limits in force for callers' connections.
     caller_limits: watch::Sender<fleet::Limits>,
     /// Set at the start of the shutdown.
@@ -145,6 +146,7 @@
         limits: Mutex::default(),
         cold_permits: Mutex::default(),
         bounds: settings.bounds.clone(),
+        placement: settings.placement,
         caller_limits: watch::Sender::default(),
         shutdown: OnceLock::new(),
         closing: CancellationToken::new(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -133,6 +133,9 @@
     /// When a request must begin at an engine of its service; `None` for plain services and while
     /// the engine's parameters are unknown.
     pub(super) fn timing(&self, call: &Call) -> Option<Timing> {
+        if !self.placement.forecast {
+            return None;
+        }
         let catalog = self.catalog.snapshot();
         let service = catalog.config.as_ref()?.service(&call.service)?;
         let forecast = Forecast::known(service.engine.as_ref()?)?;
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -290,7 +290,8 @@
         let account_priority = account.and_then(|a| a.priority);
         let service = routes::select_service(route, &caller_headers.request_id).ok_or(NO_ROUTE)?;
         let limit = config.limits.body_bytes;
-        let is_returning = self.record_time_limit(route, &caller_headers);
+        let is_returning =
+            self.placement.returning && self.record_time_limit(route, &caller_headers);
         let mut call = Call {
             priority: account_priority.unwrap_or(route.priority),
             service: service.to_owned(),
--- a/src/host.rs
+++ b/src/host.rs
@@ -21,7 +21,7 @@
 use crate::fleet;
 use crate::node::follow;
 use crate::node::freshness::StoreContact;
-use crate::node::settings::{Bounds, Settings};
+use crate::node::settings::{Bounds, Placement, Settings};
 use crate::node::stop::Signals;
 use crate::node::{Error, ListenSnafu, MissingSnafu, SharedCatalog, metrics_listener, relay};
 use crate::place::limit::Limits;
@@ -79,6 +79,7 @@
     /// Port on which all hosts receive messages.
     port: u16,
     bounds: Bounds,
+    placement: Placement,
     socket: UdpSocket,
     slots: Mutex<SlotTable>,
     /// Gateways that subscribed to the target's state.
@@ -143,6 +144,7 @@
         target: target.address,
         port: settings.ports[0],
         bounds: settings.bounds.clone(),
+        placement: settings.placement,
         socket,
         slots: Mutex::new(SlotTable::new(
             DEFAULT_SLOTS,
@@ -286,7 +288,12 @@
                     *slots = SlotTable::new(engine.slots, engine.slot_time(), engine.prefill_rate);
                     slots.set_open(is_open);
                 }
-                slots.configure(engine);
+                if self.placement.forecast {
+                    slots.configure(engine);
+                } else {
+                    slots.resize(engine.slots);
+                    slots.order_mut().set_engine(engine);
+                }
             }
             applied = engine;
             if updates.changed().await.is_err() {
@@ -331,7 +338,9 @@
             slots.reset();
         }
         slots.reconcile(report.running + report.queued, now);
-        slots.set_pace(report.slowdown, now);
+        if self.placement.forecast {
+            slots.set_pace(report.slowdown, now);
+        }
         let active = slots.active();
         drop(slots);
         self.observe_start(report.started, now);
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -57,11 +57,26 @@
     /// Listening address of the metrics endpoint.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub metrics: Option<SocketAddr>,
+    /// Optional parts of placement.
+    #[serde(default)]
+    pub placement: Placement,
     /// Log output.
     #[serde(default)]
     pub log: Log,
 }
 
+/// Optional parts of placement. Both are off by default: on the users' bench they cost more callers
+/// their objective than they served in addition.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Placement {
+    /// Whether waits are limited by the predicted time to the first event, and follow the pace of
+    /// engines.
+    pub forecast: bool,
+    /// Whether returning callers wait at gateways for a place.
+    pub returning: bool,
+}
+
 /// Listening addresses of a gateway.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/standins/tests/soak_platform.rs
+++ b/standins/tests/soak_platform.rs
@@ -142,6 +142,10 @@
                 cold_slack: None,
             },
             metrics: Some(address(9464)),
+            placement: corianderramp::node::settings::Placement {
+                forecast: true,
+                returning: true,
+            },
             log: settings::Log::default(),
         };
         let file = self.folder.path().join(format!("{vm}.toml"));
--- a/standins/tests/support/users_fleet.rs
+++ b/standins/tests/support/users_fleet.rs
@@ -99,6 +99,10 @@
             link_mbps: 100.0,
             bounds: self.bounds.clone(),
             metrics: None,
+            placement: corianderramp::node::settings::Placement {
+                forecast: true,
+                returning: true,
+            },
             log: settings::Log::default(),
         }
     }
