Take answers without a final status for broken ones

Targets in trouble send answers whose status is none. Callers of gateways got such answers with 101 and 600 to 999, on first sends, retries and second attempts, from engines and plain targets. An answer in the continuation of a stream ended the stream although another engine could go on. With `X-Corianderramp-Not-Run` in it, callers were told that the request had not run. hyper itself fails on 000 to 099, four digits, words and empty statuses, and on interim ones without a response after them.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::mem;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -38,6 +39,10 @@
 /// Time before the limit of old weights at which a request that waits on them is given up, so
 /// that the target learns of it in time.
 const CANCEL_MARGIN: Duration = Duration::from_millis(50);
+/// Statuses that an answer may have. A target in trouble sends others, and nothing in such an
+/// answer can be believed; hyper itself reads only numbers from 100 to 999, and skips interim
+/// statuses except 101.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Urgency that targets assume for a request without this header.
 const DEFAULT_URGENCY: u8 = 5;
 /// Largest urgency, of the requests that targets admit last.
@@ -386,6 +391,13 @@
                 return Err(SendError::MayHaveRun("connection broke"));
             }
         };
+        let status = head.status.as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            debug!(status; "target sent an invalid status");
+            slot.record_result(false);
+            self.report_broken(call, &slot);
+            return Err(SendError::MayHaveRun("invalid status"));
+        }
         if request::is_mismatched(&head.headers, &call.caller_headers.request_id) {
             slot.record_result(false);
             return Err(SendError::MayHaveRun("answer to another request"));
