--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -77,6 +77,14 @@
     pub returning: bool,
 }
 
+impl Placement {
+    /// All parts.
+    pub const ALL: Self = Self {
+        forecast: true,
+        returning: true,
+    };
+}
+
 /// Listening addresses of a gateway.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -128,6 +136,19 @@
 }
 
 impl Bounds {
+    /// Creates the bounds of a deployment without evacuations and cold targets.
+    #[must_use]
+    pub const fn new(stop_ms: u64, weights_ms: u64, config_ms: u64) -> Self {
+        Self {
+            stop_ms,
+            weights_ms,
+            config_ms,
+            evacuation_ms: None,
+            cold_overage: None,
+            cold_slack: None,
+        }
+    }
+
     /// Time after a change of the configuration within which it must be in force.
     #[must_use]
     pub fn config_limit(&self) -> Duration {
--- a/standins/tests/soak_platform.rs
+++ b/standins/tests/soak_platform.rs
@@ -15,7 +15,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use corianderramp::node::settings::{Bounds, Listen, Role, Settings, Target as HostTarget};
+use corianderramp::node::settings::{
+    Bounds, Listen, Placement, Role, Settings, Target as HostTarget,
+};
 use corianderramp::settings;
 use http::{Method, StatusCode};
 use parking_lot::Mutex;
@@ -133,19 +135,9 @@
             store: Store::address_for(self.net.address(1, 8000), vm),
             target: (role == Role::Host).then_some(host_target),
             link_mbps: 100.0,
-            bounds: Bounds {
-                stop_ms: STOP_TIME.as_millis().try_into().unwrap(),
-                weights_ms: 8_000,
-                config_ms: 2_000,
-                evacuation_ms: None,
-                cold_overage: None,
-                cold_slack: None,
-            },
+            bounds: Bounds::new(STOP_TIME.as_millis().try_into().unwrap(), 8_000, 2_000),
             metrics: Some(address(9464)),
-            placement: corianderramp::node::settings::Placement {
-                forecast: true,
-                returning: true,
-            },
+            placement: Placement::ALL,
             log: settings::Log::default(),
         };
         let file = self.folder.path().join(format!("{vm}.toml"));
--- a/standins/tests/support/users_fleet.rs
+++ b/standins/tests/support/users_fleet.rs
@@ -9,7 +9,9 @@
 use bytes::Bytes;
 use corianderramp::clock;
 use corianderramp::net;
-use corianderramp::node::settings::{Bounds, Listen, Role, Settings, Target as HostTarget};
+use corianderramp::node::settings::{
+    Bounds, Listen, Placement, Role, Settings, Target as HostTarget,
+};
 use corianderramp::node::stop::Signals;
 use corianderramp::{gateway, host, settings};
 use http::{Method, Request, Response, StatusCode};
@@ -99,10 +101,7 @@
             link_mbps: 100.0,
             bounds: self.bounds.clone(),
             metrics: None,
-            placement: corianderramp::node::settings::Placement {
-                forecast: true,
-                returning: true,
-            },
+            placement: Placement::ALL,
             log: settings::Log::default(),
         }
     }
