--- a/src/place/returning.rs
+++ b/src/place/returning.rs
@@ -1,11 +1,11 @@
 //! Decides which callers return after a refusal, how long such a caller may wait for a place, and
 //! in which order waiting callers are tried.
 //!
-//! Load pattern: all engines lose power and none serves for 3 to 4 s, or the demand of a class
-//! doubles for some seconds. Callers are told to retry after a third of their time (2 s of 6 s),
-//! come back once, and were refused a second and last time: 1,990 of the 24,430 requests of a
-//! day. A second refusal costs the caller its request, while waiting at the gateway costs no
-//! target anything: the objective of such a caller has passed, and most of its time has not.
+//! Load pattern: all engines lose power and none serves for some seconds, or the demand of a class
+//! doubles. Callers are told to retry after a third of their time, come back once, and are refused
+//! a second and last time. A second refusal costs the caller its request, while waiting at the
+//! gateway costs no target anything: the objective of such a caller has passed, and most of its
+//! time has not.
 //!
 //! Callers send the time that they have left, so one that returns sends less than the route's
 //! callers send at first. What they send at first is learned from the requests. A caller that
@@ -36,8 +36,8 @@
 
 /// Shortest time for which waiting is worthwhile; less is spent on a slot request.
 const MIN_WAIT: Duration = Duration::from_millis(20);
-/// Maximum number of callers that wait at a gateway. With 14 gateways and 400 requests/s, 57
-/// return to each within the last 2 s of an outage of 4 s.
+/// Maximum number of callers that wait at a gateway: those that return within 2 s, the longest
+/// time to a retry, at 48 requests/s.
 pub const MAX_WAITING: usize = 96;
 /// Maximum size of the waiting requests together, bytes.
 pub const MAX_WAITING_BYTES: usize = 512 * 1024;
