--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of cases 6 to 8 from the standard library alone; needs only rustc. Case 9
-# starts none: it needs the daemon, which the build of the deploy file makes, and curl. Case 10 has
-# no script.
+# Builds the stand-ins of cases 6 to 9 from the standard library alone; needs only rustc. Case 10
+# has no script.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,4 +1,4 @@
-//! Plays the scripts of cases 6 to 8: `standin-2 CASE FOLDER TEMPORARY`. Ends with status 0 if the
+//! Plays the scripts of cases 6 to 9: `standin-2 CASE FOLDER TEMPORARY`. Ends with status 0 if the
 //! rule held, 1 if it was broken and 2 if the case couldn't run. Store, servers and processes are
 //! those of the earlier review; new are the links of hosts to the store, an origin that forgets old
 //! versions, and the clients.
@@ -30,6 +30,10 @@
 const STABLE: Duration = Duration::from_millis(3_000);
 const VERSION: Duration = Duration::from_millis(8_000);
 
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Time for which all processes are down.
+const DOWN: Duration = Duration::from_millis(1_200);
+
 const GATEWAYS: [u8; 3] = [11, 12, 13];
 const LEDGERS: [u8; 3] = [21, 22, 23];
 const ENGINES: [u8; 3] = [31, 32, 33];
@@ -94,11 +98,56 @@
     }
 }
 
-/// Settings with the bounds of rosa-fleet.
-fn settings(folder: &Path, net: Subnet, role: &str, vm: u8, store: SocketAddr) -> io::Result<PathBuf> {
-    let path = world::settings(folder, net, role, vm, store)?;
-    let text = std::fs::read_to_string(&path)?;
-    std::fs::write(&path, text.replace("config_ms = 3000", "config_ms = 2000"))?;
+/// Writes the settings of a VM from the template of the deploy file, as the platform fills it in
+/// for rosa-fleet, with a stop time of `grace` seconds; returns the file.
+fn settings(
+    folder: &Path,
+    net: Subnet,
+    role: &str,
+    vm: u8,
+    store: SocketAddr,
+    grace: &str,
+) -> io::Result<PathBuf> {
+    let (name, ip) = (format!("{role}-{vm}"), net.address(vm, 0).ip());
+    let link = if role == "gateway" { "700.0" } else { "7.6" };
+    let values = [
+        ("{{node_name|json}}", format!("\"{name}\"")),
+        ("{{zone|json}}", "\"cb-a\"".to_owned()),
+        ("{{region|json}}", "\"central-belt\"".to_owned()),
+        ("{{ip|json}}", format!("\"{ip}\"")),
+        ("{{ip}}", ip.to_string()),
+        ("{{internal_ports|json}}", "[7700,7715]".to_owned()),
+        ("{{platform.address|json}}", format!("\"{store}\"")),
+        ("{{limits.link_mbps}}", link.to_owned()),
+        ("{{listen.front|json}}", format!("\"{ip}:8005\"")),
+        ("{{listen.ready|json}}", format!("\"{ip}:8002\"")),
+        ("{{app|json}}", format!("\"{ip}:9000\"")),
+        ("{{service|json}}", "\"shake-llm\"".to_owned()),
+        ("{{bounds.grace_s}}", grace.to_owned()),
+        ("{{bounds.version_ms}}", "8000".to_owned()),
+        ("{{bounds.config_apply_ms}}", "2000".to_owned()),
+        ("\"{{@}}\" = {{.|json}}", "\"cb-a\" = \"central-belt\"".to_owned()),
+    ];
+    let (mut text, mut is_left_out) = (String::new(), false);
+    for line in std::fs::read_to_string(format!("deploy/{role}.toml"))?.lines() {
+        // A section stands for a value that rosa-fleet has, or not.
+        if let Some(section) = line.strip_prefix("{{#") {
+            is_left_out = !["bounds.config_apply_ms}}", "zones}}"].contains(&section);
+        } else if line.starts_with("{{/") {
+            is_left_out = false;
+        } else if !is_left_out {
+            text += line;
+            text += "\n";
+        }
+    }
+    for (field, value) in &values {
+        text = text.replace(field, value);
+    }
+    if text.contains("{{") {
+        return Err(error("the template has other fields"));
+    }
+    let path = folder.join(format!("{name}.toml"));
+    std::fs::write(&path, text)?;
     Ok(path)
 }
 
@@ -129,6 +178,7 @@
 
 /// A small deployment in one data centre.
 struct Deployment {
+    net: Subnet,
     record: Record,
     store: Store,
     servers: Servers,
@@ -169,16 +219,17 @@
             engines.push(servers.start(&id, net.address(vm, 9000), engine, None)?);
             let link = net.address(vm, 8007);
             links.push(Link::start(link, store_address)?);
-            let file = settings(temporary, net, "host", vm, link)?;
+            let file = settings(temporary, net, "host", vm, link, "8")?;
             hosts.push(Process::start(&format!("host-{vm}"), &file, &record)?);
         }
         let mut gateways = Vec::new();
         for vm in GATEWAYS {
-            let file = settings(temporary, net, "gateway", vm, store_address)?;
+            let file = settings(temporary, net, "gateway", vm, store_address, "8")?;
             gateways.push(Process::start(&format!("gateway-{vm}"), &file, &record)?);
         }
         let callers = GATEWAYS.map(|vm| net.address(vm, 8005)).to_vec();
         let deployment = Self {
+            net,
             record,
             store,
             servers,
@@ -444,6 +495,96 @@
     Ok(verdict(&deployment.record, &text, broken))
 }
 
+/// Number of requests that were served, out of all, sent by one client for each gateway.
+fn serve_for(deployment: &Deployment, time: Duration) -> (usize, usize) {
+    let is_stopped = Arc::new(AtomicBool::new(false));
+    let begin = |callers: SocketAddr| {
+        let (stop, record) = (is_stopped.clone(), deployment.record.clone());
+        thread::spawn(move || {
+            let (mut served, mut sent) = (0, 0);
+            while !stop.load(Ordering::SeqCst) {
+                let answers = [
+                    look_up(&record, callers, &new_id("request")),
+                    plan(&record, callers, &new_id("request")),
+                ];
+                served += answers.iter().filter(|a| a.is_complete && a.status == 200).count();
+                sent += answers.len();
+                thread::sleep(Duration::from_millis(50));
+            }
+            (served, sent)
+        })
+    };
+    let threads: Vec<_> = deployment.callers.iter().map(|c| begin(*c)).collect();
+    thread::sleep(time);
+    is_stopped.store(true, Ordering::SeqCst);
+    let counts = threads.into_iter().filter_map(|t| t.join().ok());
+    counts.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
+}
+
+/// Case 9: the settings files change, with a fraction in the stop time, and later all processes are
+/// killed at once and started again. Without the disruption the new stop time is whole.
+fn restart(folder: &Path, temporary: &Path, has_trouble: bool) -> io::Result<bool> {
+    let engine = Work::Engine(4, Duration::from_millis(20));
+    let mut deployment = Deployment::start(folder, temporary, engine)?;
+    let before = serve_for(&deployment, Duration::from_secs(3));
+    let grace = if has_trouble { "7.5" } else { "9" };
+    deployment.record.add(&format!("the settings change to grace_s = {grace}"));
+    let net = deployment.net;
+    for vm in ENGINES {
+        settings(temporary, net, "host", vm, net.address(vm, 8007), grace)?;
+    }
+    for vm in GATEWAYS {
+        settings(temporary, net, "gateway", vm, net.address(1, 8007), grace)?;
+    }
+    for process in deployment.hosts.iter_mut().chain(&mut deployment.gateways) {
+        process.signal("HUP")?;
+    }
+    thread::sleep(Duration::from_secs(1));
+    let text = config(deployment.origin, 7, r#""key-1","key-2""#);
+    deployment.store.write("config", "main", Some(&text));
+    for process in deployment.hosts.iter_mut().chain(&mut deployment.gateways) {
+        process.kill();
+    }
+    thread::sleep(DOWN);
+    let back = Instant::now();
+    for process in deployment.hosts.iter_mut().chain(&mut deployment.gateways) {
+        process.restart()?;
+    }
+    // As on the platform, processes that have ended are started again.
+    let hosts = ENGINES.map(|vm| net.address(vm, 7700));
+    let gateways = GATEWAYS.map(|vm| net.address(vm, 8002));
+    while back.elapsed() < RECOVERY {
+        thread::sleep(Duration::from_secs(1));
+        let addresses = hosts.iter().chain(&gateways);
+        let processes = deployment.hosts.iter_mut().chain(&mut deployment.gateways);
+        for (address, process) in addresses.zip(processes) {
+            if TcpStream::connect(address).is_err() {
+                process.wait_end(Duration::ZERO);
+                process.restart()?;
+            }
+        }
+    }
+    deployment.record.add("recovery_s is over");
+    let after = serve_for(&deployment, Duration::from_secs(5));
+    for vm in [GATEWAYS[0], ENGINES[0]] {
+        let name = if GATEWAYS.contains(&vm) { "gateway" } else { "host" };
+        let log = std::fs::read_to_string(temporary.join(format!("{name}-{vm}.log")));
+        for line in log.unwrap_or_default().lines().filter(|l| l.contains("invalid type")).take(2) {
+            deployment.record.add(&format!("log of {name}-{vm}: {line}"));
+        }
+    }
+    let is_broken = before.0 * 4 >= before.1 && after.0 * 4 < after.1;
+    let text = format!(
+        "served {} of {} requests before, {} of {} later than {} s after the processes were back",
+        before.0,
+        before.1,
+        after.0,
+        after.1,
+        RECOVERY.as_secs()
+    );
+    Ok(verdict(&deployment.record, &text, usize::from(is_broken)))
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder, temporary] = arguments.as_slice() else {
@@ -456,6 +597,7 @@
     let result = match case.as_str() {
         "stale-config" => stale_config(folder, temporary, has_trouble),
         "leaving" => leaving(folder, temporary, has_trouble),
+        "restart" => restart(folder, temporary, has_trouble),
         "versions" => versions(folder, temporary, has_trouble),
         _ => Err(error("no such case")),
     };
