Escape names in the requests for the pages of a list

Callers of gateways that started while an entry of another writer stood in the list of servers got almost no answer, if the name of the entry held a character such as &, +, #, % or a blank and the list was longer than a page.

Cause: the next page is requested by the last name of the one before it, and the name became part of the query as it was. & and # end the value; a store that decodes the query reads + as a blank and %41 as A, so it returns the same page again or leaves entries out. With a blank, a quotation mark or a line feed the path is invalid and was replaced by "/". The node learns of no target.

All characters that are not unreserved are now escaped, with percent-encoding, which is in the lock file already. Escapes mean the same in a query whether or not the store reads + as a blank. The stand-in of the store returns pages, decodes queries and has 404 for other paths.

--- a/src/net.rs
+++ b/src/net.rs
@@ -16,6 +16,8 @@
 use tokio::task::AbortHandle;
 use tokio::time;
 
+pub mod uri;
+
 /// Idle time before the first TCP keepalive probe. Middleboxes can drop a connection
 /// without a reset, which only a probe detects.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -15,6 +15,7 @@
 use crate::net;
 
 mod lenient;
+mod pages;
 
 /// Maximum size of a response body, bytes; a page holds about 1 MB.
 const MAX_RESPONSE: usize = 4 * 1024 * 1024;
@@ -184,8 +185,9 @@
 
     async fn list_pages(&mut self, topic: Topic, options: &str) -> Result<List, Error> {
         let mut list = List::default();
-        let mut path = format!("/objects/{}?{options}", kind(topic));
+        let mut after = None;
         loop {
+            let path = pages::path(kind(topic), options, after.as_deref());
             let Answer { body, era } = self.get(&path, RESPONSE_TIMEOUT, 0).await?;
             let mut page: Page = lenient::parse(&body).context(MalformedSnafu)?;
             // A watch from the first page's revision covers changes made between pages.
@@ -197,18 +199,11 @@
             for object in &mut page.items {
                 object.meta.revision = revision::at(era, object.meta.revision);
             }
-            // Without a name, the next page can't be requested.
-            if page.has_more && page.items.is_empty() {
-                let error = serde::de::Error::custom("no entry of the page can be read");
-                return Err(error).context(MalformedSnafu);
-            }
+            let next = page.has_more.then(|| pages::next(&page.items));
+            after = next.transpose().context(MalformedSnafu)?;
             list.items.extend(page.items);
-            match list.items.last() {
-                Some(object) if page.has_more => {
-                    let after = &object.meta.name;
-                    path = format!("/objects/{}?{options}&after={after}", kind(topic));
-                }
-                _ => return Ok(list),
+            if after.is_none() {
+                return Ok(list);
             }
         }
     }
--- /dev/null
+++ b/src/platform/store/pages.rs
@@ -0,0 +1,28 @@
+//! Continues a list that the store returns page by page, after the last name of each page.
+//!
+//! Load pattern: all nodes start while the list is longer than a page, and a page ends with the entry
+//! of another writer. Its name may hold any character. A node without the targets serves nothing.
+
+use crate::net::uri;
+use crate::platform::store::Object;
+
+/// Path of the page of objects of `kind` whose names follow `after`.
+pub fn path(kind: &str, options: &str, after: Option<&str>) -> String {
+    match after {
+        Some(name) => format!("/objects/{kind}?{options}&after={}", uri::escape(name)),
+        None => format!("/objects/{kind}?{options}"),
+    }
+}
+
+/// Name that the page after the one with `items` follows.
+///
+/// # Errors
+/// Fails when no name on the page can be read.
+pub fn next(items: &[Object]) -> Result<String, serde_json::Error> {
+    let last = items.last().map(|object| object.meta.name.clone());
+    last.ok_or_else(|| serde::de::Error::custom("no entry of the page can be read"))
+}
+
+#[cfg(test)]
+#[path = "pages_test.rs"]
+mod test;
--- /dev/null
+++ b/src/platform/store/pages_test.rs
@@ -0,0 +1,20 @@
+/// A name became part of the query as it was: `&` and `#` ended it, `+` and `%41` stood for other
+/// characters, and a blank made the whole path invalid.
+#[test]
+fn any_name_is_one_value_of_the_query() {
+    for (name, value) in [
+        ("i-7f3a", "i-7f3a"),
+        ("a&wait_ms=9", "a%26wait_ms%3D9"),
+        ("a+b c", "a%2Bb%20c"),
+        ("a#b", "a%23b"),
+        ("a%41", "a%2541"),
+        ("a/?\"\n", "a%2F%3F%22%0A"),
+        ("\u{e4}", "%C3%A4"),
+    ] {
+        let path = super::path("servers", "stale_ok=1", Some(name));
+        let expected = format!("/objects/servers?stale_ok=1&after={value}");
+        assert_eq!(path, expected);
+        assert!(path.parse::<http::Uri>().is_ok(), "{path}");
+    }
+    assert_eq!(super::path("servers", "", None), "/objects/servers?");
+}
--- a/standins/src/users/server.rs
+++ b/standins/src/users/server.rs
@@ -35,11 +35,23 @@
     response
 }
 
+/// Value of a query parameter as sent.
 pub(super) fn query<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
     let pairs = uri.query()?.split('&').filter_map(|p| p.split_once('='));
     pairs.into_iter().find(|p| p.0 == name).map(|p| p.1)
 }
 
+/// Decoded value of a query parameter, in which `+` stands for a blank.
+pub(super) fn query_text(uri: &Uri, name: &str) -> Option<String> {
+    Some(decode(&query(uri, name)?.replace('+', " ")))
+}
+
+/// Text with its percent escapes resolved.
+pub(super) fn decode(text: &str) -> String {
+    let decoded = percent_encoding::percent_decode_str(text);
+    decoded.decode_utf8_lossy().into_owned()
+}
+
 /// Serves requests at `address` with `handler` until the test ends. An error of the handler
 /// closes the connection without a response.
 pub(super) async fn serve<F, R>(address: SocketAddr, handler: F)
--- a/standins/src/users/store.rs
+++ b/standins/src/users/store.rs
@@ -12,7 +12,9 @@
 use tokio::sync::Notify;
 use tokio::time;
 
-use super::server::{Error, HttpResponse, connection_reset, full_response, query, serve};
+use super::server::{
+    Error, HttpResponse, connection_reset, full_response, query, query_text, serve,
+};
 
 /// Texts in a spec that are sent in a form that can't be read: no Unicode text, invalid bytes, and
 /// a number out of range.
@@ -43,6 +45,8 @@
     /// Kinds of the lists that were answered without stale data, with the number of the VM.
     lists: Arc<Mutex<Vec<(String, u8)>>>,
     changed: Arc<Notify>,
+    /// Maximum number of objects in one answer to a list; 0 for no limit.
+    page_size: Arc<AtomicUsize>,
 }
 
 impl Store {
@@ -123,6 +127,11 @@
         self.unanswered.lock().clear();
     }
 
+    /// Returns at most `count` objects in each answer to a list.
+    pub fn limit_pages(&self, count: usize) {
+        self.page_size.store(count, Ordering::Relaxed);
+    }
+
     /// Revision of the last change.
     #[must_use]
     pub fn revision(&self) -> usize {
@@ -175,7 +184,9 @@
         if self.is_rejected(vm) {
             return Ok(full_response(StatusCode::SERVICE_UNAVAILABLE, ""));
         }
-        let kind = uri.path().trim_start_matches("/objects/").to_owned();
+        let Some(kind) = uri.path().strip_prefix("/objects/").map(str::to_owned) else {
+            return Ok(full_response(StatusCode::NOT_FOUND, ""));
+        };
         if self.unanswered.lock().contains(&kind) {
             self.unanswered_calls.fetch_add(1, Ordering::Relaxed);
             return std::future::pending().await;
@@ -184,7 +195,9 @@
             if query(uri, "stale_ok") != Some("1") {
                 self.lists.lock().push((kind.clone(), vm));
             }
-            return Ok(full_response(StatusCode::OK, encode(&self.list(&kind))));
+            let after = query_text(uri, "after").unwrap_or_default();
+            let page = encode(&self.page(&kind, &after));
+            return Ok(full_response(StatusCode::OK, page));
         };
         let wait = query(uri, "wait_ms")
             .and_then(|w| w.parse().ok())
@@ -214,7 +227,8 @@
         self.is_down.load(Ordering::Relaxed) || self.rejected.lock().contains(&vm)
     }
 
-    fn list(&self, kind: &str) -> Value {
+    /// Objects of `kind` whose names sort after `after`, as many as a page may have.
+    fn page(&self, kind: &str, after: &str) -> Value {
         let changes = self.changes.lock();
         let same = changes.iter().filter(|c| c.kind == kind);
         let newest = same.clone().filter(|c| {
@@ -222,8 +236,15 @@
                 .clone()
                 .any(|o| o.name == c.name && o.revision > c.revision)
         });
-        let items: Vec<Value> = newest.filter(|c| c.spec.is_some()).map(object).collect();
-        json!({"items": items, "has_more": false, "as_of": changes.len()})
+        let present = newest.filter(|c| c.spec.is_some());
+        let mut rest: Vec<&Change> = present.filter(|c| c.name.as_str() > after).collect();
+        rest.sort_by(|a, b| a.name.cmp(&b.name));
+        let size = match self.page_size.load(Ordering::Relaxed) {
+            0 => rest.len(),
+            limit => limit.min(rest.len()),
+        };
+        let items: Vec<Value> = rest[..size].iter().map(|c| object(c)).collect();
+        json!({"items": items, "has_more": size < rest.len(), "as_of": changes.len()})
     }
 
     fn events(&self, kind: &str, since: u64) -> Vec<Value> {
--- /dev/null
+++ b/standins/tests/paged_lists.rs
@@ -0,0 +1,90 @@
+//! Lists of the store that are longer than one page. The comment on each test states the failure
+//! that it guards against.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use corianderramp::fleet::catalog::Topic;
+use corianderramp::node::settings::Role;
+use corianderramp::platform::store::Client;
+use http::{Method, StatusCode};
+use serde_json::json;
+use standins::users::{Behavior, Store};
+use tokio::time;
+
+use users_fleet::{Fleet, call, call_until_ok, request};
+
+#[path = "support/users_fleet.rs"]
+mod users_fleet;
+
+/// Names that other writers gave to their entries. All sort before those of the targets.
+const NAMES: [&str; 12] = [
+    "a&b", "a+b", "a#b", "a%b", "a%41b", "a b", "a=b", "a?b", "a/b", "a\"b", "a\nb", "a\u{e4}b",
+];
+/// Hosts of the deployment.
+const HOSTS: [u8; 2] = [10, 11];
+/// Gateways of the deployment.
+const GATEWAYS: [u8; 2] = [20, 21];
+
+/// A page that ended with an entry whose name is no plain text of a query was the last one, or came
+/// again and again.
+#[tokio::test]
+async fn list_goes_on_after_any_name() {
+    let fleet = Fleet::start(0).await;
+    let address = Store::address_for(fleet.net.address(1, 8000), 10);
+    fleet.store.limit_pages(1);
+    let mut broken = Vec::new();
+    for name in NAMES {
+        let mut names = [name, "a0", "i-10"];
+        names.sort_unstable();
+        for name in names {
+            fleet.store.put("servers", name, json!({}));
+        }
+        let mut client = Client::new(address);
+        let list = time::timeout(Duration::from_secs(2), client.list(Topic::Targets)).await;
+        let listed = list.ok().and_then(Result::ok).unwrap_or_default().items;
+        if !listed.iter().map(|o| o.meta.name.as_str()).eq(names) {
+            broken.push(name);
+        }
+        fleet.store.remove("servers", name);
+    }
+    assert!(broken.is_empty(), "lists are broken by {broken:?}");
+}
+
+/// Nodes that started while such an entry stood learned of no target and served nothing.
+#[tokio::test]
+async fn restarted_nodes_serve_beside_entries_of_other_writers() {
+    let fleet = Fleet::start(1).await;
+    for vm in HOSTS {
+        fleet.target(vm, "llm", 1, Behavior::Stream(1, 10)).await;
+    }
+    fleet.target(16, "desk", 0, Behavior::Respond("ok")).await;
+    let folder = tempfile::tempdir().unwrap();
+    let start = || {
+        let hosts = HOSTS.map(|vm| fleet.process(Role::Host, vm, folder.path()));
+        let gateways = GATEWAYS.map(|vm| fleet.process(Role::Gateway, vm, folder.path()));
+        (hosts, gateways)
+    };
+    let processes = start();
+    let gateways = GATEWAYS.map(|vm| fleet.net.address(vm, 8080));
+    for gateway in gateways {
+        call_until_ok(gateway, Method::GET, "/check/x").await;
+    }
+    fleet.store.limit_pages(1);
+    for name in NAMES {
+        for kind in ["config", "servers", "versions"] {
+            fleet.store.put(kind, name, json!({"owner": "somebody"}));
+        }
+    }
+    drop(processes);
+    let _processes = start();
+    for gateway in gateways {
+        call_until_ok(gateway, Method::GET, "/check/x").await;
+        call_until_ok(gateway, Method::POST, "/plan/x").await;
+        for i in 0..20 {
+            let sent = request(Method::POST, "/book/x", &format!("b{i}"));
+            assert_eq!(call(gateway, sent).await.unwrap().status(), StatusCode::OK);
+        }
+    }
+}
