Fail a list of the store whose pages repeat

A node whose store returned the same page again listed without end: it learned of nothing, called the store as fast as it answered, and kept each page in memory.

Cause: the list ended only with a page that had no more after it. Names that the store took for others led there until they were escaped; a store that reads a name in another way still can.

A page that ends where the one before it ended now fails the list, which is repeated with the usual backoff. Any page that goes on ends elsewhere.

list_ends_when_a_page_repeats, with a stand-in that repeats its first page: had no end within 2 s before, passes now.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -199,7 +199,9 @@
             for object in &mut page.items {
                 object.meta.revision = revision::at(era, object.meta.revision);
             }
-            let next = page.has_more.then(|| pages::next(&page.items));
+            let next = page
+                .has_more
+                .then(|| pages::next(&page.items, after.as_deref()));
             after = next.transpose().context(MalformedSnafu)?;
             list.items.extend(page.items);
             if after.is_none() {
--- a/src/platform/store/pages.rs
+++ b/src/platform/store/pages.rs
@@ -14,13 +14,18 @@
     }
 }
 
-/// Name that the page after the one with `items` follows.
+/// Name that the next page follows, from the `items` of the page that follows `after`.
 ///
 /// # Errors
-/// Fails when no name on the page can be read.
-pub fn next(items: &[Object]) -> Result<String, serde_json::Error> {
-    let last = items.last().map(|object| object.meta.name.clone());
-    last.ok_or_else(|| serde::de::Error::custom("no entry of the page can be read"))
+/// Fails when no name on the page can be read, or when the next page would be the same.
+pub fn next(items: &[Object], after: Option<&str>) -> Result<String, serde_json::Error> {
+    let last = items.last().map(|object| object.meta.name.as_str());
+    let reason = match last {
+        None => "no entry of the page can be read",
+        Some(_) if last == after => "the page ends where the one before it ended",
+        Some(name) => return Ok(name.to_owned()),
+    };
+    Err(serde::de::Error::custom(reason))
 }
 
 #[cfg(test)]
--- a/standins/src/users/store.rs
+++ b/standins/src/users/store.rs
@@ -47,6 +47,8 @@
     changed: Arc<Notify>,
     /// Maximum number of objects in one answer to a list; 0 for no limit.
     page_size: Arc<AtomicUsize>,
+    /// Whether each page of a list is the first one.
+    repeats_pages: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -132,6 +134,11 @@
         self.page_size.store(count, Ordering::Relaxed);
     }
 
+    /// Returns the first page of a list again and again.
+    pub fn repeat_pages(&self) {
+        self.repeats_pages.store(true, Ordering::Relaxed);
+    }
+
     /// Revision of the last change.
     #[must_use]
     pub fn revision(&self) -> usize {
@@ -195,7 +202,9 @@
             if query(uri, "stale_ok") != Some("1") {
                 self.lists.lock().push((kind.clone(), vm));
             }
-            let after = query_text(uri, "after").unwrap_or_default();
+            let after = query_text(uri, "after")
+                .filter(|_| !self.repeats_pages.load(Ordering::Relaxed))
+                .unwrap_or_default();
             let page = encode(&self.page(&kind, &after));
             return Ok(full_response(StatusCode::OK, page));
         };
--- a/standins/tests/paged_lists.rs
+++ b/standins/tests/paged_lists.rs
@@ -22,6 +22,8 @@
 const NAMES: [&str; 12] = [
     "a&b", "a+b", "a#b", "a%b", "a%41b", "a b", "a=b", "a?b", "a/b", "a\"b", "a\nb", "a\u{e4}b",
 ];
+/// Time limit for a list.
+const LIST_TIME: Duration = Duration::from_secs(2);
 /// Hosts of the deployment.
 const HOSTS: [u8; 2] = [10, 11];
 /// Gateways of the deployment.
@@ -42,7 +44,7 @@
             fleet.store.put("servers", name, json!({}));
         }
         let mut client = Client::new(address);
-        let list = time::timeout(Duration::from_secs(2), client.list(Topic::Targets)).await;
+        let list = time::timeout(LIST_TIME, client.list(Topic::Targets)).await;
         let listed = list.ok().and_then(Result::ok).unwrap_or_default().items;
         if !listed.iter().map(|o| o.meta.name.as_str()).eq(names) {
             broken.push(name);
@@ -52,6 +54,21 @@
     assert!(broken.is_empty(), "lists are broken by {broken:?}");
 }
 
+/// A list whose pages repeat had no end, and the node's memory grew with it.
+#[tokio::test]
+async fn list_ends_when_a_page_repeats() {
+    let fleet = Fleet::start(2).await;
+    let address = Store::address_for(fleet.net.address(1, 8000), 10);
+    for name in ["a0", "i-10", "i-11"] {
+        fleet.store.put("servers", name, json!({}));
+    }
+    fleet.store.limit_pages(2);
+    fleet.store.repeat_pages();
+    let mut client = Client::new(address);
+    let list = time::timeout(LIST_TIME, client.list(Topic::Targets)).await;
+    assert!(list.expect("the list does not end").is_err());
+}
+
 /// Nodes that started while such an entry stood learned of no target and served nothing.
 #[tokio::test]
 async fn restarted_nodes_serve_beside_entries_of_other_writers() {
