Escape the names of models in paths

A model whose name is no plain text of a path got no weights: hosts asked the origin, the engine beside them and each other for another path, and engines without the weights serve nothing.

The name of the model comes from the configuration in the store and became part of the paths of manifests, chunks and the staging area as it was.

Hosts escape it, and unescape it in the requests of other hosts. Plain names look as before, so hosts of both versions exchange chunks.

--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -1,5 +1,6 @@
 //! Serves manifests, chunks and the relayed catalog to peers over HTTP.
 
+use std::borrow::Cow;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +19,7 @@
 
 use crate::clock::Clock;
 use crate::host::Host;
-use crate::net;
+use crate::net::{self, uri};
 use crate::node::relay;
 use crate::place::pace::SendWindow;
 
@@ -47,24 +48,24 @@
 /// HTTP path of a manifest at a peer.
 #[must_use]
 pub fn manifest_path(model: &str, version: u64) -> String {
-    format!("/weights/{model}/{version}/manifest")
+    format!("/weights/{}/{version}/manifest", uri::escape(model))
 }
 
 /// HTTP path of a chunk at a peer.
 #[must_use]
 pub fn chunk_path(model: &str, version: u64, index: usize) -> String {
-    format!("/weights/{model}/{version}/{index}")
+    format!("/weights/{}/{version}/{index}", uri::escape(model))
 }
 
 /// Model, version and item of a path below `/weights/`.
-fn parse(path: &str) -> Option<(&str, u64, Item)> {
+fn parse(path: &str) -> Option<(Cow<'_, str>, u64, Item)> {
     let mut parts = path.strip_prefix("/weights/")?.split('/');
     let (model, version, item) = (parts.next()?, parts.next()?, parts.next()?);
     let item = match item {
         "manifest" => Item::Manifest,
         index => Item::Chunk(index.parse().ok()?),
     };
-    Some((model, version.parse().ok()?, item))
+    Some((uri::unescape(model)?, version.parse().ok()?, item))
 }
 
 /// Serves peers on `listener` until the process ends.
@@ -113,12 +114,12 @@
     }
     let (found, is_urgent) = match parse(uri.path()) {
         // Urgent: manifests are short, and a peer requests no chunk without one.
-        Some((model, version, Item::Manifest)) => (manifest(host, model, version).await, true),
+        Some((model, version, Item::Manifest)) => (manifest(host, &model, version).await, true),
         Some((model, version, Item::Chunk(index))) => {
             if host.upload_pacer.lock().backlog(host.clock.now()) > MAX_BACKLOG {
                 return respond(host, Err(StatusCode::TOO_MANY_REQUESTS), IDLE_SHARE, true);
             }
-            (chunk(host, model, version, index).await, false)
+            (chunk(host, &model, version, index).await, false)
         }
         None => (None, true),
     };
--- a/src/net/uri.rs
+++ b/src/net/uri.rs
@@ -1,5 +1,7 @@
 //! Text of other writers in the paths and queries of requests.
 
+use std::borrow::Cow;
+
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode};
 
 /// All characters that are not unreserved (RFC 3986, section 2.3).
@@ -21,3 +23,17 @@
 pub fn escape(text: &str) -> PercentEncode<'_> {
     percent_encoding::utf8_percent_encode(text, RESERVED)
 }
+
+/// Text that [`escape`] wrote; `None` if it is not UTF-8.
+///
+/// ```
+/// use corianderramp::net::uri;
+///
+/// assert_eq!(uri::unescape("50%25%20a%2Bb%23c").as_deref(), Some("50% a+b#c"));
+/// assert_eq!(uri::unescape("%FF"), None);
+/// ```
+#[must_use]
+pub fn unescape(text: &str) -> Option<Cow<'_, str>> {
+    let decoded = percent_encoding::percent_decode_str(text);
+    decoded.decode_utf8().ok()
+}
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -10,7 +10,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::digest::Digest;
-use crate::net;
+use crate::net::{self, uri};
 use crate::platform::decode::{self, WireHeldModel, WireLayers};
 
 /// Maximum size of a response body, bytes.
@@ -291,7 +291,7 @@
     version: u64,
     limit: Duration,
 ) -> Result<Manifest, Error> {
-    let path = format!("/manifest/{model}?version={version}");
+    let path = format!("/manifest/{}?version={version}", uri::escape(model));
     let body = get(origin, &path, limit).await?;
     serde_json::from_slice(&body).context(MalformedSnafu { path })
 }
@@ -307,6 +307,7 @@
     index: usize,
     limit: Duration,
 ) -> Result<Bytes, Error> {
+    let model = uri::escape(model);
     let path = format!("/piece/{model}?item_count={index}&version={version}");
     get(origin, &path, limit).await
 }
@@ -322,7 +323,7 @@
     data: Bytes,
     limit: Duration,
 ) -> Result<(), Error> {
-    let path = format!("/stage-put/{model}?item_count={index}");
+    let path = format!("/stage-put/{}?item_count={index}", uri::escape(model));
     let response = call(engine, Method::PUT, &path, data, limit).await?;
     let status = response.status();
     if status.is_success() {
@@ -345,7 +346,7 @@
 }
 
 fn staged_path(model: &str, index: usize) -> String {
-    format!("/stage-get/{model}?item_count={index}")
+    format!("/stage-get/{}?item_count={index}", uri::escape(model))
 }
 
 /// Connection to an engine for one order, open so that the order can follow at once on a check.
--- a/standins/src/users/origin.rs
+++ b/standins/src/users/origin.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use serde_json::json;
 
-use super::server::{HttpResponse, full_response, query, serve};
+use super::server::{HttpResponse, decode, full_response, query, serve};
 
 /// Returns the contents of chunk `index` of `version`.
 #[must_use]
@@ -59,6 +59,10 @@
     }
 
     fn handle(&self, uri: &Uri, chunks: usize) -> HttpResponse {
+        let mut parts = uri.path().splitn(3, '/').skip(1);
+        let (Some("manifest" | "piece"), Some(model)) = (parts.next(), parts.next()) else {
+            return full_response(StatusCode::NOT_FOUND, "");
+        };
         let version = query(uri, "version")
             .and_then(|v| v.parse().ok())
             .unwrap_or(1);
@@ -74,7 +78,7 @@
                 };
                 digests[index].replace_range(..1, digit);
             }
-            let manifest = json!({"model": "m0", "version": version, "digests": digests});
+            let manifest = json!({"model": decode(model), "version": version, "digests": digests});
             return full_response(StatusCode::OK, manifest.to_string());
         };
         if self.is_failing.load(Ordering::Relaxed) {
