Vary what foreign entries hold in the test of restarted nodes

Restarted nodes now have to serve beside one of each kind, within 12 s, the recovery time of the users' deployments.

--- a/standins/tests/paged_lists.rs
+++ b/standins/tests/paged_lists.rs
@@ -9,8 +9,8 @@
 use corianderramp::node::settings::Role;
 use corianderramp::platform::store::Client;
 use http::{Method, StatusCode};
-use serde_json::json;
-use standins::users::{Behavior, Store};
+use serde_json::{Value, json};
+use standins::users::{self, Behavior, Store, UNREADABLE};
 use tokio::time;
 
 use users_fleet::{Fleet, call, call_until_ok, request};
@@ -24,6 +24,8 @@
 ];
 /// Time limit for a list.
 const LIST_TIME: Duration = Duration::from_secs(2);
+/// Time in which the deployment of these tests has to serve again after a start.
+const RECOVERY: Duration = Duration::from_secs(12);
 /// Hosts of the deployment.
 const HOSTS: [u8; 2] = [10, 11];
 /// Gateways of the deployment.
@@ -89,19 +91,46 @@
         call_until_ok(gateway, Method::GET, "/check/x").await;
     }
     fleet.store.limit_pages(1);
-    for name in NAMES {
+    for (name, spec) in NAMES.iter().zip(foreign_specs(&fleet).iter().cycle()) {
         for kind in ["config", "servers", "versions"] {
-            fleet.store.put(kind, name, json!({"owner": "somebody"}));
+            fleet.store.put(kind, name, spec.clone());
         }
     }
     drop(processes);
     let _processes = start();
+    let served = async {
+        for gateway in gateways {
+            call_until_ok(gateway, Method::GET, "/check/x").await;
+            call_until_ok(gateway, Method::POST, "/plan/x").await;
+        }
+    };
+    let in_time = time::timeout(RECOVERY, served).await;
+    assert!(in_time.is_ok(), "not served within {RECOVERY:?}");
     for gateway in gateways {
-        call_until_ok(gateway, Method::GET, "/check/x").await;
-        call_until_ok(gateway, Method::POST, "/plan/x").await;
         for i in 0..20 {
             let sent = request(Method::POST, "/book/x", &format!("b{i}"));
             assert_eq!(call(gateway, sent).await.unwrap().status(), StatusCode::OK);
         }
     }
 }
+
+/// Contents of entries that name no target: fields are missing, have another type or another word.
+fn foreign_specs(fleet: &Fleet) -> Vec<Value> {
+    let sound = users::target_spec("desk", fleet.net.address(30, 9000), 0);
+    let fields = [
+        ("service", json!("other")),
+        ("service", json!(7)),
+        ("state", json!("asleep")),
+        ("address", json!("nowhere")),
+        ("address", json!(UNREADABLE[1])),
+        ("slots", json!(-1)),
+        ("born", json!(UNREADABLE[2])),
+    ];
+    let changed = fields.into_iter().map(|(field, value)| {
+        let mut spec = sound.clone();
+        spec[field] = value;
+        spec
+    });
+    let others = [json!({"owner": "somebody"}), json!("text"), json!([1])];
+    changed.chain(others).collect()
+}
