--- a/src/net/uri.rs
+++ b/src/net/uri.rs
@@ -1,4 +1,4 @@
-//! Text of other writers in the paths and queries of requests.
+//! Escapes text in the paths and queries of requests.
 
 use std::borrow::Cow;
 
