--- a/src/clock.rs
+++ b/src/clock.rs
@@ -13,6 +13,60 @@
     fn wall(&self) -> SystemTime;
 }
 
+/// Point in time by both clocks: the monotonic one stands still while the VM is suspended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Moment {
+    /// Monotonic time.
+    pub now: Instant,
+    /// Wall-clock time.
+    pub wall: SystemTime,
+}
+
+impl Moment {
+    /// Current time of `clock`.
+    #[must_use]
+    pub fn of(clock: &impl Clock) -> Self {
+        Self {
+            now: clock.now(),
+            wall: clock.wall(),
+        }
+    }
+
+    /// Time since `earlier`, by the clock that shows more.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use corianderramp::clock::{Manual, Moment};
+    ///
+    /// let clock = Manual::default();
+    /// let start = Moment::of(&clock);
+    /// clock.advance(Duration::from_secs(2));
+    /// assert_eq!(Moment::of(&clock).since(start), Duration::from_secs(2));
+    /// ```
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        let wall = self.wall.duration_since(earlier.wall).unwrap_or_default();
+        self.now.saturating_duration_since(earlier.now).max(wall)
+    }
+
+    /// Moment `time` later.
+    #[must_use]
+    pub fn after(self, time: Duration) -> Self {
+        Self {
+            now: self.now + time,
+            wall: self.wall + time,
+        }
+    }
+
+    /// Moment `time` earlier; this one if the clocks don't reach back so far.
+    #[must_use]
+    pub fn before(self, time: Duration) -> Self {
+        let earlier = self.now.checked_sub(time).zip(self.wall.checked_sub(time));
+        earlier.map_or(self, |(now, wall)| Self { now, wall })
+    }
+}
+
 /// Clock of the operating system.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct System;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,7 +13,7 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Moment};
 use crate::entry::retry;
 use crate::fleet;
 use crate::fleet::catalog::Catalog;
@@ -199,7 +199,7 @@
     fn refresh(&self) {
         telemetry::set_process(self.phase(), self.active());
         telemetry::set_catalog(&self.catalog.snapshot());
-        telemetry::set_contact(&self.store_contact, self.clock.now());
+        telemetry::set_contact(&self.store_contact, Moment::of(&self.clock));
     }
 }
 
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::time;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Moment};
 use crate::fleet::revision;
 use crate::gateway::Gateway;
 use crate::platform::request;
@@ -70,7 +70,7 @@
         let now = self.clock.now();
         let has_store = self
             .store_contact
-            .age(now)
+            .age(Moment::of(&self.clock))
             .is_some_and(|age| age < MAX_STORE_SILENCE);
         has_store || self.pool.lock().iter().any(|(_, e)| e.has_agent(now))
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -16,7 +16,7 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Moment};
 use crate::digest::Digest;
 use crate::fleet;
 use crate::node::follow;
@@ -202,7 +202,7 @@
         let active = self.slots.lock().active();
         telemetry::set_process(telemetry::Process::phase(self), active as usize);
         telemetry::set_catalog(&self.catalog.snapshot());
-        telemetry::set_contact(&self.contact, self.clock.now());
+        telemetry::set_contact(&self.contact, Moment::of(&self.clock));
     }
 }
 
--- a/src/host/proof.rs
+++ b/src/host/proof.rs
@@ -4,39 +4,14 @@
 //! engine is busy, reading all chunks back takes seconds, and a chunk that turns bad after it was
 //! read would be loaded. The same happens when the VM freezes between the last read and the order.
 
-use std::time::{Duration, Instant, SystemTime};
+use std::time::Duration;
 
-use crate::clock::Clock;
+use crate::clock::Moment;
 
 /// Age of a read beyond which it proves nothing. Engines must not load a chunk that turned bad
 /// more than three seconds before, and accept an order up to two seconds after the last check.
 const MAX_AGE: Duration = Duration::from_secs(1);
 
-/// Point in time by both clocks: the monotonic one stands still while the VM is suspended.
-#[derive(Clone, Copy, Debug)]
-pub struct Moment {
-    now: Instant,
-    wall: SystemTime,
-}
-
-impl Moment {
-    /// Current time of `clock`.
-    #[must_use]
-    pub fn of(clock: &impl Clock) -> Self {
-        Self {
-            now: clock.now(),
-            wall: clock.wall(),
-        }
-    }
-
-    /// Time since `earlier`, by the clock that shows more.
-    #[must_use]
-    pub fn since(self, earlier: Self) -> Duration {
-        let wall = self.wall.duration_since(earlier.wall).unwrap_or_default();
-        self.now.saturating_duration_since(earlier.now).max(wall)
-    }
-}
-
 /// When each staged chunk was last found to be sound.
 #[derive(Clone, Debug)]
 pub struct Proof {
--- a/src/host/proof_test.rs
+++ b/src/host/proof_test.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use super::{Moment, Proof};
-use crate::clock::{Clock, Manual, System};
+use super::Proof;
+use crate::clock::{Clock, Manual, Moment, System};
 
 /// Clock whose wall time goes on while its monotonic time stands still.
 #[derive(Clone, Debug, Default)]
--- a/src/host/staging.rs
+++ b/src/host/staging.rs
@@ -6,8 +6,9 @@
 use log::{info, warn};
 
 use crate::clock::Clock;
+use crate::clock::Moment;
 use crate::host::Host;
-use crate::host::proof::{Moment, Proof};
+use crate::host::proof::Proof;
 use crate::platform::engine::{self, Manifest};
 
 /// Timeout for storing or reading a chunk in the target's staging area on this VM.
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,6 +10,7 @@
 use crate::fleet::Config;
 use crate::fleet::catalog::Catalog;
 
+pub mod budget;
 pub mod eras;
 pub mod evacuations;
 pub mod follow;
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -10,25 +10,17 @@
 use tokio::sync::watch;
 use tokio::time;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Moment};
 use crate::fleet::catalog::{Catalog, Entry, LISTED_AGE, Topic};
 use crate::fleet::revision;
-use crate::node::freshness::{Cadence, StoreContact};
+use crate::node::budget::Budget;
+use crate::node::freshness::StoreContact;
 use crate::node::relay::Mode;
 use crate::node::settings::Settings;
 use crate::node::{SharedCatalog, eras, evacuations, relay};
 use crate::platform::decode;
 use crate::platform::store::{Client, Error, Event, List, Object};
 
-/// Delay before the next watch after targets changed: changes come in bursts, and one call
-/// returns them all. Well within the time in which a leaving target must stop getting requests.
-const TARGET_DELAY: Duration = Duration::from_millis(600);
-/// Delay before the next watch after the configuration or releases changed, so that one
-/// call returns changes made in quick succession.
-const CHANGE_DELAY: Duration = Duration::from_millis(150);
-/// Time between two probes of the store; followers leave a relay whose last successful
-/// contact with the store is too old.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Backoff after the first failed call; doubles up to `MAX_BACKOFF`.
@@ -46,7 +38,6 @@
     for topic in contact.topics() {
         tokio::spawn(run(
             topic,
-            Cadence::of(topic, &settings.bounds),
             settings.store,
             catalog.clone(),
             contact.clone(),
@@ -73,10 +64,6 @@
         mode,
         clock.clone(),
     ));
-    if settings.target.is_some() {
-        let store = settings.store;
-        tokio::spawn(probe_store(store, contact.clone(), current, clock.clone()));
-    }
     contact
 }
 
@@ -140,35 +127,9 @@
     relay::run(catalog, contact, region, mode, clock).await;
 }
 
-/// Probes the store periodically while this node follows it directly, so that followers of
-/// a relay can tell how fresh its catalog is while nothing changes.
-async fn probe_store<C: Clock>(
-    store: SocketAddr,
-    contact: StoreContact,
-    mut mode: watch::Receiver<Mode>,
-    clock: C,
-) {
-    loop {
-        if mode.wait_for(|mode| mode.is_direct()).await.is_err() {
-            return;
-        }
-        time::sleep(PROBE_INTERVAL).await;
-        let mut client = Client::new(store);
-        match time::timeout(PROBE_TIMEOUT, client.ping()).await {
-            Ok(Ok(())) => contact.record(clock.now()),
-            Ok(Err(e)) => {
-                let reason = e.to_string();
-                debug!(reason = reason.as_str(); "store probe failed");
-            }
-            Err(_) => debug!("store probe timed out"),
-        }
-    }
-}
-
 /// Keeps `topic` of the catalog current while this node follows the store directly.
 async fn run<C: Clock>(
     topic: Topic,
-    cadence: Cadence,
     store: SocketAddr,
     catalog: SharedCatalog,
     contact: StoreContact,
@@ -177,7 +138,7 @@
 ) {
     let mut follower = Follower {
         topic,
-        cadence,
+        budget: contact.budget(topic),
         catalog,
         contact,
         clock,
@@ -200,17 +161,19 @@
     }
 }
 
-/// Delay that groups changes of `topic` into one watch call.
-fn batch_delay(topic: Topic) -> Duration {
-    match topic {
-        Topic::Targets => TARGET_DELAY,
-        Topic::Config | Topic::Releases | Topic::Evacuations => CHANGE_DELAY,
-    }
+/// When the next watch is sent, and how long the store may take for its answer.
+struct Schedule {
+    /// Delay before the call.
+    delay: Duration,
+    /// Time for which the store waits for a change.
+    wait: Duration,
+    /// Time beyond that after which the answer counts as lost.
+    grace: Duration,
 }
 
 struct Follower<C: Clock> {
     topic: Topic,
-    cadence: Cadence,
+    budget: Budget,
     catalog: SharedCatalog,
     contact: StoreContact,
     clock: C,
@@ -223,14 +186,16 @@
 }
 
 impl<C: Clock> Follower<C> {
-    /// Lists the topic, then watches it, until the future is dropped. After an outage of the store,
-    /// the relays list first and have `precedence` to bring the topic to this node.
+    /// Lists the topic unless a relay has brought it, then watches it, until the future is dropped.
+    /// After an outage of the store, the relays list first and have `precedence` to bring the topic
+    /// to this node.
     async fn follow(&mut self, store: SocketAddr, precedence: Duration) {
         let topic = self.topic;
         let mut client = Client::new(store);
         let mut backoff = INITIAL_BACKOFF;
-        let mut revision = None;
+        let mut revision = self.contact.revision(topic);
         let mut is_failing = false;
+        (self.has_changed, self.is_overdue) = (false, false);
         loop {
             let synced = self.sync_once(&mut client, revision).await;
             let result = match &synced {
@@ -243,7 +208,7 @@
                 .increment(1);
             match synced {
                 Ok(next) => {
-                    self.contact.record_topic(topic, self.clock.now());
+                    self.contact.record_revision(topic, next);
                     self.is_overdue = false;
                     if is_failing {
                         info!(topic = topic.name(), revision = revision::number(next); "store calls succeed again");
@@ -274,7 +239,7 @@
                     // After an outage a list is cheaper than a watch: it has each object once,
                     // while the history may have it many times.
                     revision = None;
-                    let age = self.contact.age(self.clock.now());
+                    let age = self.contact.age(Moment::of(&self.clock));
                     backoff = self
                         .wait_until_reachable(&mut client, backoff, precedence)
                         .await;
@@ -301,11 +266,11 @@
         } else {
             MAX_BACKOFF
         };
-        let failed_at = self.clock.now();
+        let failed_at = Moment::of(&self.clock);
         let _guard = self.contact.probe_lock.lock().await;
         loop {
-            let now = self.clock.now();
-            let outage = now.saturating_duration_since(failed_at);
+            let now = Moment::of(&self.clock);
+            let outage = now.since(failed_at);
             if self.contact.own_age(now).is_some_and(|age| age < outage) {
                 return backoff;
             }
@@ -313,7 +278,7 @@
             backoff = (backoff * 2).min(longest);
             // A call that arrives during an outage may never be answered.
             match time::timeout(PROBE_TIMEOUT, client.ping()).await {
-                Ok(Ok(())) => self.contact.record(self.clock.now()),
+                Ok(Ok(())) => self.contact.record(Moment::of(&self.clock)),
                 Ok(Err(e)) => {
                     let reason = e.to_string();
                     debug!(reason = reason.as_str(); "store probe failed");
@@ -323,6 +288,33 @@
         }
     }
 
+    /// When to send the next watch. Its answer confirms the topic no later than an interval of the
+    /// budget after the last confirmation, though changes have come meanwhile.
+    fn schedule(&self) -> Schedule {
+        let (interval, grace) = (self.budget.watch_interval(), self.budget.answer_grace());
+        let (delay, wait) = (Duration::ZERO, Duration::ZERO);
+        if self.is_overdue {
+            return Schedule { delay, wait, grace };
+        }
+        let age = self
+            .contact
+            .topic_age(self.topic, Moment::of(&self.clock))
+            .unwrap_or_default();
+        let left = interval.saturating_sub(age);
+        if left.is_zero() {
+            // What this node has missed may be large.
+            let grace = interval + grace;
+            return Schedule { delay, wait, grace };
+        }
+        let delay = if self.has_changed {
+            left.min(self.budget.batch_delay(self.topic))
+        } else {
+            delay
+        };
+        let wait = left.saturating_sub(delay);
+        Schedule { delay, wait, grace }
+    }
+
     /// Lists the topic, or watches it from `revision`, once. Returns the revision to continue
     /// from.
     async fn sync_once(
@@ -331,33 +323,38 @@
         revision: Option<u64>,
     ) -> Result<u64, Error> {
         let Some(revision) = revision else {
+            let asked = Moment::of(&self.clock);
             let list = client.list(self.topic).await?;
+            self.contact.record(Moment::of(&self.clock));
             let revision = list.revision;
             self.apply_list(list);
+            self.contact.record_topic(self.topic, asked);
             return Ok(revision);
         };
-        let Cadence { interval, grace } = self.cadence;
-        let (delay, wait) = if self.is_overdue {
-            (Duration::ZERO, Duration::ZERO)
-        } else if self.has_changed {
-            let delay = batch_delay(self.topic).min(interval);
-            (delay, interval.saturating_sub(delay))
-        } else {
-            (Duration::ZERO, interval)
-        };
+        let Schedule { delay, wait, grace } = self.schedule();
         if !delay.is_zero() {
             time::sleep(delay).await;
         }
+        let asked = Moment::of(&self.clock);
         let changes = client.watch(self.topic, revision, wait, grace).await?;
+        // A relay that was suspended reads answers that are as old as the suspension.
+        let now = Moment::of(&self.clock);
+        self.contact.record(now);
+        let confirmed = if changes.events.is_empty() {
+            asked.after(wait.min(now.since(asked)))
+        } else {
+            asked
+        };
         self.has_changed = !changes.events.is_empty();
         let next = changes.revision.max(revision);
         if self.topic == Topic::Evacuations {
             evacuations::apply_changes(&self.catalog, changes);
-            return Ok(next);
-        }
-        for event in changes.events {
-            self.apply(event, Duration::ZERO);
+        } else {
+            for event in changes.events {
+                self.apply(event, Duration::ZERO);
+            }
         }
+        self.contact.record_topic(self.topic, confirmed);
         Ok(next)
     }
 
--- a/src/node/freshness.rs
+++ b/src/node/freshness.rs
@@ -1,85 +1,42 @@
-//! How current each topic of the catalog is, and how often the store must confirm it.
+//! How current each topic of the catalog is ([`crate::node::budget`]).
 //!
 //! Load pattern: the store answers nobody for seconds, then serves again, but not the watches
 //! that it was sent meanwhile: their connections stay open, and calls on others succeed. A
 //! topic therefore counts as current only by answers to its own calls.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use parking_lot::Mutex;
+use tokio::sync::watch;
 
+use crate::clock::Moment;
 use crate::fleet::catalog::{Catalog, Topic};
+use crate::node::budget::Budget;
 use crate::node::settings::Bounds;
 
-/// How often the store must confirm that a node has the newest state of a topic.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Cadence {
-    /// Time from one answer until the next watch ends, though nothing changed.
-    pub interval: Duration,
-    /// Time after which the answer to a watch that has ended counts as lost.
-    pub grace: Duration,
+/// What the store has confirmed of a topic.
+#[derive(Clone, Copy, Debug, Default)]
+struct Confirmation {
+    /// When the node is known to have had every change.
+    at: Option<Moment>,
+    /// Store revision from which a watch misses no change; 0 if unknown.
+    revision: u64,
 }
 
-impl Cadence {
-    /// Cadence with which changes of `topic` are in force in time although the answer to one
-    /// watch is lost. A quarter of the limit is left for the next call and for followers.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    ///
-    /// use corianderramp::fleet::catalog::Topic;
-    /// use corianderramp::node::freshness::Cadence;
-    /// use corianderramp::node::settings::Bounds;
-    ///
-    /// let bounds = Bounds {
-    ///     stop_ms: 8_000,
-    ///     weights_ms: 8_000,
-    ///     config_ms: 4_000,
-    ///     evacuation_ms: None,
-    ///     cold_overage: None,
-    ///     cold_slack: None,
-    /// };
-    /// let cadence = Cadence::of(Topic::Config, &bounds);
-    /// assert_eq!(cadence.limit(), Duration::from_secs(3));
-    /// ```
-    #[must_use]
-    pub fn of(topic: Topic, bounds: &Bounds) -> Self {
-        let limit = match topic {
-            Topic::Evacuations => bounds.evacuation_limit(),
-            _ => None,
-        };
-        let limit = limit.unwrap_or(bounds.config_limit());
-        let interval = limit / 2;
-        Self {
-            interval: match topic {
-                Topic::Config | Topic::Targets | Topic::Evacuations => interval,
-                Topic::Releases => interval.max(bounds.weights_limit() / 4),
-            },
-            grace: limit / 4,
-        }
-    }
-
-    /// Longest time between two answers unless one is lost.
-    #[must_use]
-    pub fn limit(&self) -> Duration {
-        self.interval + self.grace
-    }
-}
-
-/// Times of the last answers of the store, shared by all topics.
+/// What the store has confirmed, shared by all topics.
 #[derive(Clone, Debug)]
 pub struct StoreContact {
     /// Whether this node follows evacuations.
     has_evacuations: bool,
-    /// Longest time between two answers for each topic, in the order of [`Topic::ALL`].
-    limits: [Duration; Topic::ALL.len()],
+    /// Budgets of the topics, in the order of [`Topic::ALL`].
+    budgets: [Budget; Topic::ALL.len()],
     /// Last answer to a call of this node.
-    last: Arc<Mutex<Option<Instant>>>,
-    /// Last contact of the relay that this node follows.
-    relayed: Arc<Mutex<Option<Instant>>>,
-    /// Last answer to a list or watch of each topic, in the order of [`Topic::ALL`].
-    topics: Arc<Mutex<[Option<Instant>; Topic::ALL.len()]>>,
+    last: Arc<Mutex<Option<Moment>>>,
+    /// Confirmations by calls of this node and by relays, in the order of [`Topic::ALL`].
+    topics: Arc<Mutex<[Confirmation; Topic::ALL.len()]>>,
+    /// Notified when the catalog was confirmed again.
+    confirmed: Arc<watch::Sender<()>>,
     /// Held by the topic that probes an unreachable store for all of them.
     pub(super) probe_lock: Arc<tokio::sync::Mutex<()>>,
 }
@@ -90,14 +47,31 @@
     pub fn new(bounds: &Bounds) -> Self {
         Self {
             has_evacuations: bounds.evacuation_ms.is_some(),
-            limits: Topic::ALL.map(|t| Cadence::of(t, bounds).limit()),
+            budgets: Topic::ALL.map(|t| Budget::of(t, bounds)),
             last: Arc::default(),
-            relayed: Arc::default(),
             topics: Arc::default(),
+            confirmed: Arc::new(watch::channel(()).0),
             probe_lock: Arc::default(),
         }
     }
 
+    /// Budget of the changes of `topic`.
+    #[must_use]
+    pub fn budget(&self, topic: Topic) -> Budget {
+        self.budgets[topic as usize]
+    }
+
+    /// Budget by which ages are counted, of the topic with the lowest limit that all nodes follow.
+    #[must_use]
+    pub fn base(&self) -> Budget {
+        let [config, targets] = [Topic::Config, Topic::Targets].map(|t| self.budget(t));
+        if targets.limit() < config.limit() {
+            targets
+        } else {
+            config
+        }
+    }
+
     /// Whether this node follows `topic`. Each call to the store is priced, so evacuations are
     /// followed only in deployments that have them.
     #[must_use]
@@ -117,49 +91,84 @@
         self.topics().all(|t| catalog.revision(t) > 0)
     }
 
+    /// Receiver that is notified when the catalog was confirmed again.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<()> {
+        self.confirmed.subscribe()
+    }
+
     /// Records that the store answered a call of this node.
-    pub fn record(&self, now: Instant) {
+    pub fn record(&self, now: Moment) {
         *self.last.lock() = Some(now);
     }
 
-    /// Records that the store answered a list or watch of `topic`.
-    pub fn record_topic(&self, topic: Topic, now: Instant) {
-        self.topics.lock()[topic as usize] = Some(now);
-        self.record(now);
+    /// Records that this node had every change of `topic` at the moment `at`.
+    pub fn record_topic(&self, topic: Topic, at: Moment) {
+        self.confirm(&[topic], at, |_| at);
+    }
+
+    /// Records that a relay's catalog was `age` old at the moment `sent`, and that this node has
+    /// all of it.
+    pub fn record_relayed(&self, topics: &[Topic], sent: Moment, age: Duration) {
+        let base = self.base();
+        let at = |topic: Topic| sent.before(base.scaled(age, self.budget(topic)));
+        self.confirm(topics, sent, at);
+    }
+
+    fn confirm(&self, confirmed: &[Topic], now: Moment, at: impl Fn(Topic) -> Moment) {
+        let before = self.age(now);
+        {
+            let mut topics = self.topics.lock();
+            for topic in confirmed {
+                let known = &mut topics[*topic as usize].at;
+                let at = at(*topic);
+                if known.is_none_or(|known| now.since(at) < now.since(known)) {
+                    *known = Some(at);
+                }
+            }
+        }
+        if self.age(now) != before {
+            self.confirmed.send_replace(());
+        }
     }
 
-    /// Records that a relay was in contact with the store at `at`.
-    pub fn record_relayed(&self, at: Instant) {
-        let mut relayed = self.relayed.lock();
-        *relayed = (*relayed).max(Some(at));
+    /// Records that the catalog has every change of `topic` up to the store revision `revision`.
+    pub fn record_revision(&self, topic: Topic, revision: u64) {
+        let known = &mut self.topics.lock()[topic as usize].revision;
+        *known = (*known).max(revision);
     }
 
-    /// Time since the store last answered this node or the relay that it follows, or for
-    /// which an answer for one of the topics has been overdue, if that is longer; `None` if
-    /// the store never answered.
+    /// Store revision from which a watch of `topic` misses no change; `None` if unknown.
     #[must_use]
-    pub fn age(&self, now: Instant) -> Option<Duration> {
-        let last = (*self.last.lock()).max(*self.relayed.lock());
-        let silence = now.saturating_duration_since(last?);
-        let overdue = self.topics().filter_map(|topic| {
+    pub fn revision(&self, topic: Topic) -> Option<u64> {
+        let revision = self.topics.lock()[topic as usize].revision;
+        (revision > 0).then_some(revision)
+    }
+
+    /// Time since this node is known to have had every change, of the topic that has used up most
+    /// of its budget and in terms of [`Self::base`]; `None` before the first confirmation of each.
+    #[must_use]
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        let base = self.base();
+        let mut oldest = Duration::ZERO;
+        for topic in self.topics() {
             let age = self.topic_age(topic, now)?;
-            Some(age.saturating_sub(self.limits[topic as usize]))
-        });
-        Some(overdue.max().unwrap_or_default().max(silence))
+            oldest = oldest.max(self.budget(topic).scaled(age, base));
+        }
+        Some(oldest)
     }
 
     /// Time since the store last answered a call of this node.
     #[must_use]
-    pub fn own_age(&self, now: Instant) -> Option<Duration> {
+    pub fn own_age(&self, now: Moment) -> Option<Duration> {
         let last = *self.last.lock();
-        last.map(|at| now.saturating_duration_since(at))
+        last.map(|at| now.since(at))
     }
 
-    /// Time since `topic` was last known to be current: since the store answered a list or
-    /// watch of it, or since the last contact of the relay that this node follows.
+    /// Time since this node is known to have had every change of `topic`.
     #[must_use]
-    pub fn topic_age(&self, topic: Topic, now: Instant) -> Option<Duration> {
-        let last = self.topics.lock()[topic as usize].max(*self.relayed.lock());
-        last.map(|at| now.saturating_duration_since(at))
+    pub fn topic_age(&self, topic: Topic, now: Moment) -> Option<Duration> {
+        let at = self.topics.lock()[topic as usize].at;
+        at.map(|at| now.since(at))
     }
 }
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -6,6 +6,7 @@
 //! node follows the store itself when it finds no relay that is in contact with it. Log
 //! lines call a relay `scout`.
 
+use std::future;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -20,10 +21,11 @@
 use tokio::sync::watch;
 use tokio::time;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Moment};
 use crate::fleet::catalog::{Catalog, Topic};
 use crate::net;
 use crate::node::SharedCatalog;
+use crate::node::budget::Budget;
 use crate::node::freshness::StoreContact;
 
 pub mod choice;
@@ -31,24 +33,12 @@
 
 /// HTTP path at which a relay serves the catalog.
 pub const PATH: &str = "/catalog";
-/// Time after which a relay answers a long poll even if nothing changed.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout for connecting to a relay, which is in the same region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout for the head of a response.
-const HEAD_TIMEOUT: Duration = Duration::from_millis(900);
 /// Timeout for the body of a response, which is long when the configuration is large.
 const BODY_TIMEOUT: Duration = Duration::from_millis(1_600);
-/// Longest time since a relay's last contact with the store for it to be followed. Together
-/// with the time to detect this, changes arrive well within the two seconds that
-/// deployments allow.
-const MAX_AGE: Duration = Duration::from_millis(1_100);
 /// Time until the relays are chosen and tried again while this node follows the store.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// Time until the relays are tried again while this node waits for one of them.
 const WAIT_INTERVAL: Duration = Duration::from_millis(100);
-/// Silent relays after which no further one is tried at once: each takes `HEAD_TIMEOUT`.
-const MAX_SILENT: usize = 2;
 /// Largest response body of a relay, bytes.
 const MAX_RESPONSE: usize = 16 * 1024 * 1024;
 
@@ -96,19 +86,10 @@
     },
 }
 
-impl Error {
-    /// Whether the relay accepted the request and began no response in time.
-    fn is_silent(&self) -> bool {
-        let Self::Net { source } = self else {
-            return false;
-        };
-        matches!(source, net::Error::Timeout { limit, .. } if *limit == HEAD_TIMEOUT)
-    }
-}
-
 /// Answers a long poll with the topics that are newer than the revisions in `query`. Waits
-/// until there is one, at most `LONG_POLL_TIMEOUT`. `None` if the query is malformed or
-/// the catalog is still incomplete.
+/// until there is one, or until this node's confirmation is clearly younger than the follower's, at
+/// most the budget's time. A relay that has lost the store answers at once. `None` if the query is
+/// malformed or the catalog is still incomplete.
 pub async fn respond(
     catalog: &SharedCatalog,
     contact: &StoreContact,
@@ -121,27 +102,49 @@
     if !has_evacuations {
         known.evacuations = None;
     }
-    let asked = clock.now();
+    let asked = Moment::of(clock);
     let mut updates = catalog.subscribe();
-    let changed = updates.wait_for(|catalog| known.is_outdated(catalog));
+    let mut confirmations = contact.subscribe();
+    let budget = contact.base();
+    let age = contact.age(asked).unwrap_or_default();
+    let hold = { budget.shortest_lease().saturating_sub(age) }.min(budget.poll_hold());
+    let gains = || {
+        let now = Moment::of(clock);
+        let theirs = known.age_ms.map(Duration::from_millis);
+        let theirs = theirs.map(|age| age + now.since(asked));
+        theirs
+            .zip(contact.age(now))
+            .is_some_and(|(theirs, own)| theirs >= own + budget.poll_gain())
+    };
+    let changed = async {
+        tokio::select! {
+            _ = updates.wait_for(|catalog| known.is_outdated(catalog)) => {}
+            _ = confirmations.wait_for(|()| gains()) => {}
+        }
+    };
     // On timeout the response has no topics but still says how fresh the catalog is.
-    let _ = time::timeout(LONG_POLL_TIMEOUT, changed).await;
+    let _ = time::timeout(hold, changed).await;
+    // Confirmations first: the snapshot has at least what they confirm.
+    let now = Moment::of(clock);
+    let age = contact.age(now);
+    let revisions = { Topic::ALL.iter() }
+        .map(|t| contact.revision(*t).unwrap_or(0))
+        .collect();
     let snapshot = catalog.snapshot();
     if !contact.is_complete(&snapshot) {
         return None;
     }
-    let now = clock.now();
-    let age = contact.age(now)?;
-    let parts = cache.parts(&snapshot, known, now).inspect_err(|e| {
+    let parts = cache.parts(&snapshot, known, now.now).inspect_err(|e| {
         let reason = e.to_string();
         warn!(reason = reason.as_str(); "catalog topic not encoded");
     });
     let response = codec::Response {
-        age_ms: codec::millis(age),
+        age_ms: codec::millis(age?),
         parts: parts.ok()?,
-        held_ms: codec::millis(now.saturating_duration_since(asked)),
+        held_ms: codec::millis(now.now.saturating_duration_since(asked.now)),
         era: snapshot.era(),
         has_evacuations,
+        revisions,
     };
     Some(response.encode_to_vec().into())
 }
@@ -166,9 +169,17 @@
         choice::relays(catalog, &self.data_centers, self.port)
     }
 
-    /// Time without contact to any of `relays` after which this node follows the store itself.
-    fn patience(&self, relays: &[SocketAddr]) -> Duration {
-        choice::patience(relays, self.own, self.limit, rand::rng().random())
+    /// Lease of this node; `draw`, a uniform random number in 0..1, spreads those of all nodes.
+    fn lease(&self, relays: &[SocketAddr], budget: Budget, draw: f64) -> Duration {
+        // Nodes that are no relays wait for half of the time over which patience is spread.
+        let spread = budget.lease_spread() * 2;
+        budget.shortest_lease() + choice::patience(relays, self.own, spread, draw)
+    }
+
+    /// Time that the relays get after an outage of the store.
+    fn precedence(&self, relays: &[SocketAddr], draw: f64) -> Duration {
+        let patience = choice::patience(relays, self.own, self.limit, draw);
+        choice::precedence(patience, self.limit)
     }
 }
 
@@ -202,7 +213,7 @@
 }
 
 /// Polls the region's relays and sets `mode` to whether this node must follow the store itself, as
-/// the first relay always does.
+/// the first relay always does and all others when their lease ends.
 pub async fn run<C: Clock>(
     catalog: SharedCatalog,
     contact: StoreContact,
@@ -210,16 +221,17 @@
     mode: watch::Sender<Mode>,
     clock: C,
 ) {
+    let budget = contact.base();
     let mut follower = Follower {
         catalog,
         contact,
         connection: None,
-        is_silent: false,
+        failed: Vec::new(),
         lacks_evacuations: false,
         clock,
     };
-    // Until the first contact, the relays need time to list the catalog themselves.
-    let mut patience_end = follower.clock.now() + region.limit;
+    let started = Moment::of(&follower.clock);
+    let mut draw = rand::rng().random();
     loop {
         let relays = region.relays(&follower.catalog.snapshot());
         let upstreams = choice::upstreams(&relays, region.own);
@@ -230,33 +242,40 @@
             time::sleep(RETRY_INTERVAL).await;
             continue;
         }
+        let precedence = region.precedence(&relays, draw);
+        let direct = Mode::Direct { precedence };
         let is_direct = mode.borrow().is_direct();
-        let asked = follower.clock.now();
-        if follower.poll_any(&upstreams, is_direct).await {
+        let now = Moment::of(&follower.clock);
+        let left = match follower.contact.age(now) {
+            Some(age) => region.lease(&relays, budget, draw).saturating_sub(age),
+            // Until the first contact, the relays need time to list the catalog themselves.
+            None => region.limit.saturating_sub(now.since(started)),
+        };
+        let lease_end = time::Instant::now() + left;
+        // Relays can take long to answer, or fall silent: the lease ends all the same.
+        let expired = async {
+            time::sleep_until(lease_end).await;
+            set_mode(&mode, direct, "lease ended");
+            future::pending::<()>().await;
+        };
+        let is_relayed = tokio::select! {
+            is_relayed = follower.poll_any(&upstreams, is_direct) => is_relayed,
+            () = expired, if !is_direct => false,
+        };
+        if is_relayed {
             if follower.lacks_evacuations {
                 let reason = "following a relay without evacuations";
                 set_mode(&mode, Mode::Partial, reason);
             } else {
                 set_mode(&mode, Mode::Relayed, "following a relay");
             }
-            patience_end = follower.clock.now() + region.patience(&relays);
-            continue;
-        }
-        // Relays that are silent may be paused, and asking them again takes as long again. Those
-        // that answered, but too slowly, get another chance.
-        let judged = if follower.is_silent {
-            follower.clock.now()
-        } else {
-            asked
-        };
-        if is_direct {
+            draw = rand::rng().random();
+        } else if mode.borrow().is_direct() {
             time::sleep(RETRY_INTERVAL).await;
-        } else if judged >= patience_end {
-            let precedence = choice::precedence(region.patience(&relays), region.limit);
-            let reason = "no relay in contact with the store";
-            set_mode(&mode, Mode::Direct { precedence }, reason);
+        } else if choice::patience(&relays, region.own, region.limit, draw).is_zero() {
+            set_mode(&mode, direct, "no relay in contact with the store");
         } else {
-            time::sleep(WAIT_INTERVAL).await;
+            time::sleep_until(lease_end.min(time::Instant::now() + WAIT_INTERVAL)).await;
         }
     }
 }
@@ -273,34 +292,30 @@
     catalog: SharedCatalog,
     contact: StoreContact,
     connection: Option<(SocketAddr, net::Connection)>,
-    /// Whether the relays last polled accepted the requests and began no response.
-    is_silent: bool,
+    /// Relays whose last poll failed, and when.
+    failed: Vec<(SocketAddr, Moment)>,
     /// Whether this node follows evacuations and the relay last polled does not.
     lacks_evacuations: bool,
     clock: C,
 }
 
 impl<C: Clock> Follower<C> {
-    /// Polls the relays in order until one is in contact with the store; returns whether
-    /// there is one. Unless this node follows the store meanwhile, ends early when `MAX_SILENT`
-    /// were silent.
+    /// Polls the relays until one is in contact with the store, those that failed lately after all
+    /// others; returns whether there is one.
     async fn poll_any(&mut self, relays: &[SocketAddr], is_direct: bool) -> bool {
-        let mut silent = 0;
-        for (tried, relay) in (1..).zip(relays) {
-            match self.poll(*relay).await {
-                Ok(()) => return true,
-                Err(e) => {
-                    self.connection = None;
-                    silent += usize::from(e.is_silent());
-                    self.is_silent = silent == tried;
-                    if !is_direct {
-                        let reason = e.to_string();
-                        warn!(scout:% = relay, reason = reason.as_str(); "relay poll failed");
-                    }
-                    if silent == MAX_SILENT && !is_direct {
-                        return false;
-                    }
-                }
+        let now = Moment::of(&self.clock);
+        let avoidance = self.contact.base().avoidance();
+        self.failed.retain(|(_, at)| now.since(*at) < avoidance);
+        for relay in choice::avoiding(relays, &self.failed) {
+            self.failed.retain(|(failed, _)| *failed != relay);
+            let Err(e) = self.poll(relay).await else {
+                return true;
+            };
+            self.connection = None;
+            self.failed.push((relay, Moment::of(&self.clock)));
+            if !is_direct {
+                let reason = e.to_string();
+                warn!(scout:% = relay, reason = reason.as_str(); "relay poll failed");
             }
         }
         false
@@ -313,24 +328,27 @@
         if !has_evacuations {
             known.evacuations = None;
         }
+        let age = self.contact.age(Moment::of(&self.clock));
+        known.age_ms = age.map(codec::millis);
         let query = known.query();
         let mut request = Request::new(Full::default());
         *request.uri_mut() = format!("{PATH}?{query}").parse().unwrap_or_default();
         if let Ok(host) = relay.to_string().parse() {
             request.headers_mut().insert(header::HOST, host);
         }
+        let budget = self.contact.base();
         let kept = self
             .connection
             .take()
             .filter(|c| c.0 == relay && c.1.is_open());
         let mut connection = match kept {
             Some((_, connection)) => connection,
-            None => net::Connection::open(relay, CONNECT_TIMEOUT)
+            None => net::Connection::open(relay, budget.connect_limit())
                 .await
                 .context(NetSnafu)?,
         };
-        let asked = self.clock.now();
-        let limits = (HEAD_TIMEOUT, BODY_TIMEOUT);
+        let asked = Moment::of(&self.clock);
+        let limits = (budget.poll_limit(), BODY_TIMEOUT);
         let response = connection.call_with_limits(request, limits, MAX_RESPONSE);
         let response = response.await.context(NetSnafu)?;
         if response.status() != StatusCode::OK {
@@ -340,7 +358,7 @@
         }
         self.connection = Some((relay, connection));
         let response = codec::Response::decode(response.into_body()).context(MalformedSnafu)?;
-        let sent = codec::sent_time(asked, response.held_ms, self.clock.now());
+        let sent = codec::sent_time(asked.now, response.held_ms, self.clock.now());
         for part in &response.parts {
             codec::apply(&self.catalog, part, sent)?;
         }
@@ -351,14 +369,33 @@
             return StaleSnafu { address, reason }.fail();
         }
         let age = Duration::from_millis(response.age_ms);
-        if age > MAX_AGE {
-            let reason = format!("last contact {} ms ago", response.age_ms);
+        if age > budget.shortest_lease() {
+            let reason = format!("last confirmed {} ms ago", response.age_ms);
             let address = relay;
             return StaleSnafu { address, reason }.fail();
         }
         self.lacks_evacuations = has_evacuations && !response.has_evacuations;
-        self.contact
-            .record_relayed(sent.checked_sub(age).unwrap_or(sent));
+        self.confirm(&response, asked.after(sent - asked.now), age);
         Ok(())
     }
+
+    /// Records what `response`, sent at the moment `sent`, confirms.
+    fn confirm(&self, response: &codec::Response, sent: Moment, age: Duration) {
+        let snapshot = self.catalog.snapshot();
+        // A part is not adopted if the topic has changed since the poll began.
+        let is_adopted = |topic: Topic| {
+            let parts = response.parts.iter();
+            let mut parts = parts.filter(|p| p.topic == topic as u32);
+            parts.all(|p| p.revision <= snapshot.revision(topic))
+        };
+        let is_confirmed =
+            |t: &Topic| (*t != Topic::Evacuations || response.has_evacuations) && is_adopted(*t);
+        let topics: Vec<Topic> = self.contact.topics().filter(is_confirmed).collect();
+        for topic in &topics {
+            let revision = response.revisions.get(*topic as usize);
+            let revision = revision.copied().unwrap_or(0);
+            self.contact.record_revision(*topic, revision);
+        }
+        self.contact.record_relayed(&topics, sent, age);
+    }
 }
--- a/src/node/relay/choice.rs
+++ b/src/node/relay/choice.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::clock::Moment;
 use crate::fleet::catalog::Catalog;
 use crate::fleet::{Phase, Target};
 use crate::rendezvous;
@@ -65,6 +66,24 @@
     order
 }
 
+/// `relays` in the same order, with those in `failed` after all others, the one that failed first
+/// before those that failed later.
+///
+/// ```
+/// use corianderramp::clock::{Manual, Moment};
+/// use corianderramp::node::relay::choice;
+///
+/// let relays = ["10.0.0.1:80".parse().unwrap(), "10.0.0.2:80".parse().unwrap()];
+/// let failed = [(relays[0], Moment::of(&Manual::default()))];
+/// assert_eq!(choice::avoiding(&relays, &failed), [relays[1], relays[0]]);
+/// ```
+#[must_use]
+pub fn avoiding(relays: &[SocketAddr], failed: &[(SocketAddr, Moment)]) -> Vec<SocketAddr> {
+    let mut order = relays.to_vec();
+    order.sort_by_key(|relay| failed.iter().position(|(f, _)| f == relay));
+    order
+}
+
 /// Time without contact to a relay after which the node `own` follows the store itself.
 ///
 /// The first relay that loses those before it turns to the store at once. Each later one
--- a/src/node/relay/codec.rs
+++ b/src/node/relay/codec.rs
@@ -33,8 +33,8 @@
 /// Response of a relay.
 #[derive(Clone, PartialEq, Message)]
 pub struct Response {
-    /// Time since the last contact of the relay, or of the relay that it follows, with the
-    /// store, milliseconds.
+    /// Time since the relay, or the relay that it follows, is known to have had every change,
+    /// as [`crate::node::freshness::StoreContact::age`], milliseconds.
     #[prost(uint64, tag = "1")]
     pub age_ms: u64,
     /// Topics of which the relay has a newer revision than the follower.
@@ -50,6 +50,10 @@
     /// Whether the relay follows evacuations; processes of earlier versions don't.
     #[prost(bool, tag = "5")]
     pub has_evacuations: bool,
+    /// Store revisions from which watches of the topics miss no change that the response lacks, in
+    /// the order of [`Topic::ALL`]; 0 if unknown, empty from processes of earlier versions.
+    #[prost(uint64, repeated, tag = "6")]
+    pub revisions: Vec<u64>,
 }
 
 /// One topic of the catalog.
@@ -82,6 +86,9 @@
     /// Revision of the evacuations; `None` if the follower does not follow them, as processes of
     /// earlier versions.
     pub evacuations: Option<u64>,
+    /// Age of the follower's own confirmation, milliseconds. `None` before its first one and from
+    /// processes of earlier versions.
+    pub age_ms: Option<u64>,
 }
 
 impl Known {
@@ -94,6 +101,7 @@
             takes_changes: true,
             versions: Some((config_version(catalog), catalog.release_sum())),
             evacuations: Some(catalog.evacuations_revision),
+            age_ms: None,
         }
     }
 
@@ -105,9 +113,11 @@
             return format!("{config},{targets},{releases},1");
         };
         let query = format!("{config},{targets},{releases},1,{version},{sum}");
-        match self.evacuations {
-            Some(evacuations) => format!("{query},{evacuations}"),
-            None => query,
+        match (self.evacuations, self.age_ms) {
+            (Some(evacuations), Some(age)) => format!("{query},{evacuations},{age}"),
+            (Some(evacuations), None) => format!("{query},{evacuations}"),
+            (None, Some(age)) => format!("{query},-,{age}"),
+            (None, None) => query,
         }
     }
 
@@ -121,6 +131,8 @@
     /// assert_eq!(known.versions, Some((30, 5)));
     /// assert_eq!(known.evacuations, None);
     /// assert_eq!(Known::parse("4,9,2,1,30,5,8").unwrap().evacuations, Some(8));
+    /// let known = Known::parse("4,9,2,1,30,5,-,120").unwrap();
+    /// assert_eq!((known.evacuations, known.age_ms), (None, Some(120)));
     /// assert!(Known::parse("4,9").is_none());
     /// ```
     #[must_use]
@@ -132,6 +144,7 @@
             takes_changes: numbers.next().is_some(),
             versions: numbers.next().flatten().zip(numbers.next().flatten()),
             evacuations: numbers.next().flatten(),
+            age_ms: numbers.next().flatten(),
         })
     }
 
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -118,6 +118,10 @@
     /// milliseconds.
     #[serde(default = "default_config_ms")]
     pub config_ms: u64,
+    /// Time after a target has said that it leaves, or was removed, within which it must get no
+    /// more requests, milliseconds. Without it, that of the configuration.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leaving_ms: Option<u64>,
     /// Time after an evacuation of a data centre within which it must be in force,
     /// milliseconds. Without it, evacuations are not followed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -143,6 +147,7 @@
             stop_ms,
             weights_ms,
             config_ms,
+            leaving_ms: None,
             evacuation_ms: None,
             cold_overage: None,
             cold_slack: None,
@@ -155,6 +160,13 @@
         Duration::from_millis(self.config_ms)
     }
 
+    /// Time after a target has said that it leaves within which it must get no more requests.
+    #[must_use]
+    pub fn leaving_limit(&self) -> Duration {
+        self.leaving_ms
+            .map_or(self.config_limit(), Duration::from_millis)
+    }
+
     /// Time after an evacuation within which it must be in force; `None` if they are not followed.
     #[must_use]
     pub fn evacuation_limit(&self) -> Option<Duration> {
@@ -215,6 +227,9 @@
         if self.bounds.config_ms == 0 {
             return Err(("bounds.config_ms", "must be greater than 0"));
         }
+        if self.bounds.leaving_ms == Some(0) {
+            return Err(("bounds.leaving_ms", "must be greater than 0"));
+        }
         if self.bounds.evacuation_ms == Some(0) {
             return Err(("bounds.evacuation_ms", "must be greater than 0"));
         }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::{Arc, OnceLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
@@ -17,6 +17,7 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
+use crate::clock::Moment;
 use crate::fleet::catalog::{Catalog, Topic};
 use crate::fleet::revision;
 use crate::node::freshness::StoreContact;
@@ -332,7 +333,7 @@
 }
 
 /// Sets the gauges of the time since each topic was last known to be current.
-pub(crate) fn set_contact(contact: &StoreContact, now: Instant) {
+pub(crate) fn set_contact(contact: &StoreContact, now: Moment) {
     for topic in contact.topics() {
         if let Some(age) = contact.topic_age(topic, now) {
             metrics::gauge!(CATALOG_AGE, "topic" => topic.name()).set(age.as_secs_f64());
--- a/standins/tests/support/proxy.rs
+++ b/standins/tests/support/proxy.rs
@@ -12,17 +12,24 @@
 /// Proxy that passes on nothing while it is paused.
 #[derive(Clone, Debug)]
 pub struct Proxy {
-    is_paused: watch::Sender<bool>,
+    /// Whether what clients send is held back.
+    holds_calls: watch::Sender<bool>,
+    /// Whether what the server sends is held back.
+    holds_answers: watch::Sender<bool>,
 }
 
 impl Proxy {
     /// Starts a proxy at `address` for the server at `server`.
     pub async fn start(address: SocketAddr, server: SocketAddr) -> Self {
         let proxy = Self {
-            is_paused: watch::Sender::new(false),
+            holds_calls: watch::Sender::new(false),
+            holds_answers: watch::Sender::new(false),
         };
         let listener = TcpListener::bind(address).await.unwrap();
-        let is_paused = proxy.is_paused.clone();
+        let Self {
+            holds_calls,
+            holds_answers,
+        } = proxy.clone();
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
                 let Ok(server) = TcpStream::connect(server).await else {
@@ -30,15 +37,21 @@
                 };
                 let (from_client, to_client) = client.into_split();
                 let (from_server, to_server) = server.into_split();
-                tokio::spawn(pass(from_client, to_server, is_paused.subscribe()));
-                tokio::spawn(pass(from_server, to_client, is_paused.subscribe()));
+                tokio::spawn(pass(from_client, to_server, holds_calls.subscribe()));
+                tokio::spawn(pass(from_server, to_client, holds_answers.subscribe()));
             }
         });
         proxy
     }
 
     pub fn set_paused(&self, is_paused: bool) {
-        self.is_paused.send_replace(is_paused);
+        self.holds_calls.send_replace(is_paused);
+        self.holds_answers.send_replace(is_paused);
+    }
+
+    /// Passes on nothing more of what clients send; the server's answers still arrive.
+    pub fn hold_calls(&self) {
+        self.holds_calls.send_replace(true);
     }
 }
 
--- a/standins/tests/support/users_fleet.rs
+++ b/standins/tests/support/users_fleet.rs
@@ -43,6 +43,7 @@
         stop_ms: 8_000,
         weights_ms: 8_000,
         config_ms: 2_000,
+        leaving_ms: None,
         evacuation_ms: None,
         cold_overage: None,
         cold_slack: None,
@@ -126,12 +127,7 @@
 
     /// Starts a gateway or host on VM number `vm` as a process, with its files in `folder`.
     pub fn process(&self, role: Role, vm: u8, folder: &Path) -> Process {
-        let file = folder.join(format!("{vm}.toml"));
-        let settings = self.settings(role, vm);
-        std::fs::write(&file, toml::to_string(&settings).unwrap()).unwrap();
-        let program = harness::program("corianderrampd").unwrap();
-        let log = folder.join(format!("{vm}.log"));
-        Process::start(&program, &[&file], &log).unwrap()
+        start_process(&self.settings(role, vm), folder)
     }
 
     /// Starts a host on VM number `vm`.
@@ -142,6 +138,15 @@
     }
 }
 
+/// Starts a gateway or host as a process, with its files in `folder`.
+pub fn start_process(settings: &Settings, folder: &Path) -> Process {
+    let file = folder.join(format!("{}.toml", settings.vm));
+    std::fs::write(&file, toml::to_string(settings).unwrap()).unwrap();
+    let program = harness::program("corianderrampd").unwrap();
+    let log = folder.join(format!("{}.log", settings.vm));
+    Process::start(&program, &[&file], &log).unwrap()
+}
+
 /// Gateway or host with threads of its own, which ends as if killed when this is dropped.
 pub struct Node {
     runtime: Option<Runtime>,
--- a/tests/evacuations.rs
+++ b/tests/evacuations.rs
@@ -5,11 +5,13 @@
 
 use std::time::{Duration, Instant};
 
+use corianderramp::clock::{self, Moment};
 use corianderramp::fleet::catalog::evacuations::Evacuation;
 use corianderramp::fleet::catalog::{Catalog, Entry, Topic};
 use corianderramp::fleet::{Phase, Target, revision};
 use corianderramp::node::SharedCatalog;
-use corianderramp::node::freshness::{Cadence, StoreContact};
+use corianderramp::node::budget::Budget;
+use corianderramp::node::freshness::StoreContact;
 use corianderramp::node::relay::codec::{self, Cache, Known};
 use corianderramp::node::relay::{Mode, respond};
 use corianderramp::node::settings::Bounds;
@@ -29,6 +31,7 @@
         stop_ms: 8_000,
         weights_ms: 8_000,
         config_ms: 4_000,
+        leaving_ms: None,
         evacuation_ms,
     }
 }
@@ -155,17 +158,19 @@
 /// nothing is evacuated. Without the setting, relays must not wait for the topic.
 #[tokio::test]
 async fn relay_answers_only_with_a_known_state() {
-    let now = Instant::now();
+    let now = Moment::of(&clock::System);
     let catalog = SharedCatalog::default();
     catalog.update(|c| {
         c.update_config(3, corianderramp::fleet::Config::default());
         c.replace_targets(3, Vec::new());
         c.advance_releases(3)
     });
-    let clock = corianderramp::clock::System;
+    let clock = clock::System;
     for (limit, is_answered) in [(None, true), (Some(5_000), false)] {
         let contact = StoreContact::new(&bounds(limit));
-        contact.record(now);
+        for topic in Topic::ALL {
+            contact.record_topic(topic, now);
+        }
         let answer = respond(
             &catalog,
             &contact,
@@ -178,7 +183,9 @@
     }
     catalog.update(|c| c.replace_evacuations(3, vec![evacuation("a", 2)]));
     let contact = StoreContact::new(&bounds(Some(5_000)));
-    contact.record(now);
+    for topic in Topic::ALL {
+        contact.record_topic(topic, now);
+    }
     let answer = respond(
         &catalog,
         &contact,
@@ -201,15 +208,16 @@
     assert_eq!(without.topics().count(), 3);
     let with = StoreContact::new(&bounds(Some(5_000)));
     assert_eq!(with.topics().count(), 4);
-    let cadence = Cadence::of(Topic::Evacuations, &bounds(Some(5_000)));
-    assert!(cadence.limit() <= Duration::from_millis(3_750));
-    let config = Cadence::of(Topic::Config, &bounds(Some(5_000)));
-    assert_eq!(config, Cadence::of(Topic::Config, &bounds(None)));
+    let budget = Budget::of(Topic::Evacuations, &bounds(Some(5_000)));
+    let lost = budget.watch_interval() + budget.answer_grace();
+    assert!(lost <= Duration::from_millis(3_750));
+    let config = Budget::of(Topic::Config, &bounds(Some(5_000)));
+    assert_eq!(config, Budget::of(Topic::Config, &bounds(None)));
 
-    let start = Instant::now();
-    without.record_relayed(start);
     let topics = [Topic::Config, Topic::Targets, Topic::Releases];
-    let later = start + Duration::from_secs(60);
+    let start = Moment::of(&clock::System);
+    without.record_relayed(&topics, start, Duration::ZERO);
+    let later = start.after(Duration::from_secs(60));
     for contact in [&without, &with] {
         for topic in topics {
             contact.record_topic(topic, later);
--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -9,10 +9,8 @@
 use corianderramp::fleet::catalog::{Catalog, Entry, Topic};
 use corianderramp::fleet::{Config, Phase, Release, Target};
 use corianderramp::node::SharedCatalog;
-use corianderramp::node::freshness::{Cadence, StoreContact};
 use corianderramp::node::relay::choice;
 use corianderramp::node::relay::codec::{self, Cache, Known, Part};
-use corianderramp::node::settings::Bounds;
 use flate2::Compression;
 use flate2::write::GzEncoder;
 
@@ -198,58 +196,3 @@
     let error = codec::apply(&SharedCatalog::default(), &part, Instant::now());
     assert!(error.unwrap_err().to_string().contains("larger than"));
 }
-
-/// Load pattern: the store serves again after an outage but never answers one topic's watch.
-/// Its pings made a relay look current for 25 s, and its region stayed with it.
-#[test]
-fn relay_ages_while_one_topic_is_overdue() {
-    let bounds = Bounds {
-        stop_ms: 8_000,
-        weights_ms: 8_000,
-        config_ms: 2_000,
-        evacuation_ms: None,
-        cold_overage: None,
-        cold_slack: None,
-    };
-    let contact = StoreContact::new(&bounds);
-    let start = Instant::now();
-    assert_eq!(contact.age(start), None);
-    for topic in Topic::ALL {
-        contact.record_topic(topic, start);
-    }
-    let overdue = Cadence::of(Topic::Config, &bounds).limit();
-    let age_after = |time: Duration| {
-        let now = start + time;
-        contact.record_topic(Topic::Targets, now);
-        contact.record_topic(Topic::Releases, now);
-        contact.age(now).unwrap()
-    };
-    assert_eq!(age_after(overdue), Duration::ZERO);
-    let late = Duration::from_millis(700);
-    assert_eq!(age_after(overdue + late), late);
-    contact.record_topic(Topic::Config, start + overdue + late);
-    assert_eq!(contact.age(start + overdue + late), Some(Duration::ZERO));
-}
-
-/// A change must be in force in time although the answer to a watch is lost, with a quarter
-/// of the limit left for the call after it and for the followers.
-#[test]
-fn lost_answer_leaves_time_to_ask_again() {
-    for (config_ms, weights_ms) in [(2_000, 8_000), (4_000, 8_000), (500, 0), (60_000, 1_000)] {
-        let bounds = Bounds {
-            stop_ms: 8_000,
-            weights_ms,
-            config_ms,
-            evacuation_ms: None,
-            cold_overage: None,
-            cold_slack: None,
-        };
-        for topic in [Topic::Config, Topic::Targets] {
-            let limit = Cadence::of(topic, &bounds).limit();
-            assert!(limit <= bounds.config_limit() * 3 / 4);
-        }
-        let releases = Cadence::of(Topic::Releases, &bounds);
-        assert!(!releases.interval.is_zero());
-        assert!(releases.limit() <= bounds.config_limit().max(bounds.weights_limit()) * 3 / 4);
-    }
-}
