Read figures of the settings as whole numbers or fractions

Cause: the templates joined text to a number (7.5000), and the code read all times as whole numbers, though the platform says that figures may be fractions.

What is no time is refused.

--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -12,6 +12,8 @@
 use crate::place::cold;
 use crate::settings::{Error, Log, ParseSnafu, ReadSnafu};
 
+mod figures;
+
 /// Role of a node.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -105,9 +107,10 @@
     pub service: String,
 }
 
-/// Time limits of the deployment.
+/// Time limits of the deployment. In files, each may have a fraction; those of a millisecond are
+/// cut off.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[serde(try_from = "figures::Bounds")]
 pub struct Bounds {
     /// Time from SIGTERM to SIGKILL, milliseconds.
     pub stop_ms: u64,
@@ -116,29 +119,23 @@
     pub weights_ms: u64,
     /// Time after a change of the configuration within which it must be in force,
     /// milliseconds.
-    #[serde(default = "default_config_ms")]
     pub config_ms: u64,
     /// Time after a target has said that it leaves, or was removed, within which it must get no
     /// more requests, milliseconds. Without it, that of the configuration.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub leaving_ms: Option<u64>,
     /// Time after an evacuation of a data centre within which it must be in force,
     /// milliseconds. Without it, evacuations are not followed.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub evacuation_ms: Option<u64>,
     /// Multiple of its rate that a cold target may get in a second.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub cold_overage: Option<f64>,
     /// Requests beyond it.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub cold_slack: Option<f64>,
 }
 
-/// Time for a change of the configuration in deployments that state none, milliseconds.
-fn default_config_ms() -> u64 {
-    2_000
-}
-
 impl Bounds {
     /// Creates the bounds of a deployment without evacuations and cold targets.
     #[must_use]
