Keep versions until a newer one is mandatory

Cause: the history of releases held eight versions. The ninth evicted one that was not due yet, and what is mandatory was worked out from the rest.

Change: a version is forgotten only when a newer one is mandatory by bounds.weights_ms, and not before eight are known, as before.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -63,6 +63,9 @@
     pub releases: Vec<Entry<ReleaseHistory>>,
     /// Store revision up to which `releases` is complete.
     pub releases_revision: u64,
+    /// Time after its release at which a version becomes mandatory. A version is kept until a newer
+    /// one is mandatory, and for good while the time is unknown.
+    pub weights_limit: Option<Duration>,
     /// Evacuated data centres, sorted by name.
     pub evacuations: Vec<Evacuation>,
     /// Store revision up to which `evacuations` is complete; 0 if unknown.
@@ -104,8 +107,8 @@
     pub listed: Vec<u64>,
 }
 
-/// Maximum length of a release history; the deadline of an older version has long passed.
-const MAX_HISTORY: usize = 8;
+/// Releases of a model that are kept though all requests must run on newer ones.
+const MIN_HISTORY: usize = 8;
 /// Age assumed for releases found in a list: no node saw when they were published, so their
 /// deadline may be close.
 pub const LISTED_AGE: Duration = Duration::from_secs(5);
@@ -122,6 +125,17 @@
         due.map(|(version, _)| *version).max().unwrap_or(0)
     }
 
+    /// Forgets the oldest versions on which nothing may start at `now`, up to `MIN_HISTORY`;
+    /// `deadline` as for [`Self::required_version`].
+    fn forget_due(&mut self, deadline: Duration, now: Instant) {
+        let required = self.required_version(deadline, now);
+        let excess = self.history.len().saturating_sub(MIN_HISTORY);
+        let due = self.history.partition_point(|(v, _)| *v < required);
+        for (version, _) in self.history.drain(..due.min(excess)) {
+            self.listed.retain(|v| *v != version);
+        }
+    }
+
     /// Returns when the first node learned of a version: its release, or when it was listed.
     #[must_use]
     pub fn known_since(&self, version: u64) -> Option<Instant> {
@@ -415,12 +429,12 @@
         entry.revision = revision;
         self.releases_revision = self.releases_revision.max(revision);
         let model = &mut entry.value;
-        if model.history.len() == MAX_HISTORY {
-            let (oldest, _) = model.history.remove(0);
-            model.listed.retain(|v| *v != oldest);
-        }
         model.history.push((release.version, released));
         model.release = release;
+        if let Some(limit) = self.weights_limit {
+            // A time that has passed, so that no version is forgotten before it is due.
+            model.forget_due(limit, released);
+        }
         true
     }
 
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -34,6 +34,11 @@
 /// Returns the time of the last contact with the store, which these tasks update.
 pub fn start<C: Clock>(settings: &Settings, catalog: &SharedCatalog, clock: &C) -> StoreContact {
     let contact = StoreContact::new(&settings.bounds);
+    let weights_limit = settings.bounds.weights_limit();
+    catalog.update(|c| {
+        c.weights_limit = Some(weights_limit);
+        false
+    });
     let (mode, current) = watch::channel(Mode::Relayed);
     for topic in contact.topics() {
         tokio::spawn(run(
