Date reports of engines by their requests

Cause: SlotTable::reconcile took a report for as old as its reading. A host that is suspended between asking and reading found its newest grants half a second old, not counted by the report, and dropped them; a release that was read before the report was counted as somebody else's request.

Change: a report counts from its request. The calls in the tests pass the same time for both.

--- a/src/host.rs
+++ b/src/host.rs
@@ -316,9 +316,11 @@
     async fn update_report(&self) {
         let mut client = self.report_client.lock().await;
         let asked = self.clock.now();
+        let mut asked_last = asked;
         let mut report = client.fetch(REPORT_TIMEOUT).await;
         if report.as_ref().is_err_and(|e| !e.is_timeout()) {
             // A new connection shows whether the process has ended.
+            asked_last = self.clock.now();
             report = client.fetch(REPORT_TIMEOUT).await;
         }
         drop(client);
@@ -337,7 +339,7 @@
         if before.started != report.started {
             slots.reset();
         }
-        slots.reconcile(report.running + report.queued, now);
+        slots.reconcile(report.running + report.queued, asked_last, now);
         if self.placement.forecast {
             slots.set_pace(report.slowdown, now);
         }
--- a/src/place/slots.rs
+++ b/src/place/slots.rs
@@ -112,6 +112,8 @@
     dropped: Vec<Grant>,
     /// Requests in the target's last report beyond the grants at that time.
     ungranted: u32,
+    /// When requests ended since the target was asked for its last report.
+    ended: Vec<Instant>,
     /// When the target was asked for the report that it has not given since; `None` while its
     /// reports come in time.
     silent_since: Option<Instant>,
@@ -144,6 +146,7 @@
             grants: Vec::new(),
             dropped: Vec::new(),
             ungranted: 0,
+            ended: Vec::new(),
             silent_since: None,
             heard_since: None,
             is_open: false,
@@ -369,6 +372,7 @@
             .saturating_duration_since(grant.granted_at)
             .as_secs_f64();
         self.hold += (held - self.hold) * HOLD_WEIGHT;
+        self.ended.push(now);
     }
 
     /// Frees a slot that was not used, which says nothing of how long requests hold one.
@@ -394,7 +398,13 @@
 
     /// Adopts the number of requests that the target reports. Drops grants whose requests
     /// never arrived or whose release was lost.
-    pub fn reconcile(&mut self, reported: u32, now: Instant) {
+    ///
+    /// The report, which was requested at `asked` and read at `now`, tells only what was before
+    /// `asked`.
+    ///
+    /// Load pattern: a host is suspended between the two for seconds, and finds the report beside
+    /// the releases of the requests that it counts.
+    pub fn reconcile(&mut self, reported: u32, asked: Instant, now: Instant) {
         if let Some(since) = self.silent_since.take() {
             self.backlog.skip(since, now);
             self.heard_since = Some(now);
@@ -405,14 +415,17 @@
         // Requests sent to a silent target arrive when it goes on.
         let heard_since = self.heard_since;
         let has_arrived = |g: &Grant| {
-            age(heard_since.map_or(g.granted_at, |at| at.max(g.granted_at))) >= ARRIVAL_TIMEOUT
+            let sent = heard_since.map_or(g.granted_at, |at| at.max(g.granted_at));
+            asked.saturating_duration_since(sent) >= ARRIVAL_TIMEOUT
         };
         let mut arrived: Vec<Grant> = grants.iter().copied().filter(has_arrived).collect();
         arrived.sort_by_key(|g| g.granted_at);
         arrived.truncate(arrived.len().saturating_sub(reported as usize));
         grants.retain(|g| arrived.iter().all(|d| d.id != g.id));
         let granted = u32::try_from(grants.len()).unwrap_or(u32::MAX);
-        self.ungranted = reported.saturating_sub(granted);
+        self.ended.retain(|at| *at > asked);
+        let ended = u32::try_from(self.ended.len()).unwrap_or(u32::MAX);
+        self.ungranted = reported.saturating_sub(granted.saturating_add(ended));
         if reported == 0 && grants.is_empty() {
             self.backlog.clear();
         }
@@ -424,6 +437,7 @@
         self.grants.clear();
         self.dropped.clear();
         self.ungranted = 0;
+        self.ended.clear();
         self.backlog.clear();
         self.silent_since = None;
         self.heard_since = None;
--- a/tests/long_prompts.rs
+++ b/tests/long_prompts.rs
@@ -155,7 +155,7 @@
     let wait = table.prefill_left(now);
     table.record_silence(now);
     let later = now + Duration::from_secs(1);
-    table.reconcile(1, later);
+    table.reconcile(1, later, later);
     assert_eq!(table.prefill_left(later), wait);
     table.reset();
     assert_eq!(table.prefill_left(later), Duration::ZERO);
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -56,7 +56,7 @@
     }
     assert_eq!(table.free(), 0);
     let later = now + Duration::from_millis(800);
-    table.reconcile(0, later);
+    table.reconcile(0, later, later);
     assert_eq!(table.free(), 4);
 }
 
@@ -67,7 +67,11 @@
     let now = Instant::now();
     let mut table = slot_table(4);
     table.request(&slot_request(1, 1, false), now);
-    table.reconcile(0, now + Duration::from_millis(100));
+    table.reconcile(
+        0,
+        now + Duration::from_millis(100),
+        now + Duration::from_millis(100),
+    );
     assert_eq!(table.active(), 1);
 }
 
@@ -76,7 +80,7 @@
 fn requests_without_a_grant_take_slots() {
     let now = Instant::now();
     let mut table = slot_table(4);
-    table.reconcile(4, now);
+    table.reconcile(4, now, now);
     assert_eq!(table.free(), 0);
     assert!(matches!(
         table.request(&slot_request(1, 1, true), now),
@@ -225,7 +229,7 @@
 fn grant_takes_a_slot_beside_requests_without_one() {
     let now = Instant::now();
     let mut table = slot_table(4);
-    table.reconcile(3, now);
+    table.reconcile(3, now, now);
     let decisions = [1, 2, 3].map(|i| table.request(&slot_request(i, 1, true), now));
     let granted = decisions.iter().filter(|d| **d == Decision::Granted);
     assert_eq!(granted.count(), 1);
@@ -242,7 +246,7 @@
         table.request(request, now + Duration::from_millis(i));
     }
     let later = now + Duration::from_secs(1);
-    table.reconcile(3, later);
+    table.reconcile(3, later, later);
     assert_eq!(table.active(), 3);
     table.release(requests[2].id, later + Duration::from_millis(2));
     assert_eq!(table.active(), 3);
@@ -256,15 +260,19 @@
 fn requests_sent_to_a_silent_target_keep_their_slots() {
     let now = Instant::now();
     let mut table = slot_table(4);
-    table.reconcile(0, now);
+    table.reconcile(0, now, now);
     for request in 0..4 {
         table.request(&slot_request(request, 1, false), now);
     }
     table.record_silence(now);
     let later = now + Duration::from_secs(1);
-    table.reconcile(0, later);
+    table.reconcile(0, later, later);
     assert_eq!(table.active(), 4);
-    table.reconcile(0, later + Duration::from_millis(600));
+    table.reconcile(
+        0,
+        later + Duration::from_millis(600),
+        later + Duration::from_millis(600),
+    );
     assert_eq!(table.active(), 0);
 }
 
@@ -274,7 +282,7 @@
 fn silent_target_takes_only_requests_that_have_no_other() {
     let now = Instant::now();
     let mut table = slot_table(2);
-    table.reconcile(1, now);
+    table.reconcile(1, now, now);
     assert!(table.record_silence(now));
     assert!(!table.record_silence(now + Duration::from_millis(500)));
     let later = now + Duration::from_millis(900);
@@ -290,7 +298,7 @@
     let late = now + OBJECTIVE * 4;
     let decision = table.request(&slot_request(4, 1, false), late);
     assert!(matches!(decision, Decision::Full(_)));
-    table.reconcile(1, late);
+    table.reconcile(1, late, late);
     let after = table.request(&slot_request(5, 1, true), late);
     assert_eq!(after, Decision::Granted);
 }
@@ -305,7 +313,7 @@
         table.request(&slot_request(request, 0, false), now);
         table.cancel(slot_request(request, 0, false).id);
     }
-    table.reconcile(2, now);
+    table.reconcile(2, now, now);
     assert_eq!(table.expected_wait(now), Duration::from_millis(500));
 }
 
--- a/tests/support/prompts.rs
+++ b/tests/support/prompts.rs
@@ -243,7 +243,7 @@
         if tick % 100 == server as u64 % 100 {
             let reported = u32::try_from(current.active()).unwrap();
             let now = self.start + ms(at);
-            self.tables[server].reconcile(reported, now);
+            self.tables[server].reconcile(reported, now, now);
             if self.policy == Policy::Forecast {
                 self.tables[server].set_pace(pace, now);
             }
