Extend leases while an answer is arriving

Cause: a configuration of 1,400 more routes took longer than the rest of a lease on the links of relays. Nodes turned to the store more than 90 times, each for the whole of it over the same links; later changes came late ("lease ended", then "watch not answered").

Change: a lease is extended while an answer is arriving at the node or its relay, part by part, and for one stall after a long one (net::arrivals). An answer that has begun is not lost by the time limit of its head. Hosts that are no relays have a lease that is one limit longer.

--- a/src/net.rs
+++ b/src/net.rs
@@ -16,6 +16,9 @@
 use tokio::task::AbortHandle;
 use tokio::time;
 
+use crate::net::arrivals::Arrivals;
+
+pub mod arrivals;
 pub mod uri;
 
 /// Idle time before the first TCP keepalive probe. Middleboxes can drop a connection
@@ -87,6 +90,7 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    arrivals: Arrivals,
 }
 
 impl Drop for Connection {
@@ -142,9 +146,17 @@
             address,
             sender,
             driver: driver.abort_handle(),
+            arrivals: Arrivals::default(),
         })
     }
 
+    /// Tells `arrivals` of responses that are arriving.
+    #[must_use]
+    pub fn telling(mut self, arrivals: Arrivals) -> Self {
+        self.arrivals = arrivals;
+        self
+    }
+
     /// Sends a request and waits for the response head.
     ///
     /// # Errors
@@ -192,6 +204,11 @@
         let timed_out = |limit| Error::Timeout { address, limit };
         let head = time::timeout(head_limit, self.send(request)).await;
         let (head, body) = head.map_err(|_| timed_out(head_limit))??.into_parts();
+        let arrival = self.arrivals.begin();
+        let body = body.map_frame(|frame| {
+            arrival.record();
+            frame
+        });
         let body = time::timeout(body_limit, Limited::new(body, max_bytes).collect()).await;
         let body = body.map_err(|_| timed_out(body_limit))?;
         let body = body.map_err(|e| Error::Body {
--- a/src/node/budget.rs
+++ b/src/node/budget.rs
@@ -13,6 +13,9 @@
 //! | lease: watch of the first relay, then the next relay or the store | at most 11 | 1.375 s |
 //! | call of the node itself | 3 | 0.375 s |
 //! | reserve: requests that are on their way to a target | 2 | 0.25 s |
+//!
+//! While an answer is arriving at the node or at its relay, part by part, the lease is extended: the
+//! store could not send it faster, and copies for all nodes would slow it down.
 
 use std::time::Duration;
 
@@ -120,6 +123,19 @@
         self.parts(2)
     }
 
+    /// Time by which the lease of a host that is no relay is longer: requests are sent by what
+    /// gateways know.
+    #[must_use]
+    pub fn host_extension(&self) -> Duration {
+        self.limit
+    }
+
+    /// Time by which a lease is extended at most while an answer is arriving.
+    #[must_use]
+    pub fn receiving_extension(&self) -> Duration {
+        self.limit
+    }
+
     /// Time after which a relay answers a poll though it has nothing new.
     #[must_use]
     pub fn poll_hold(&self) -> Duration {
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -21,6 +21,8 @@
 use crate::platform::decode;
 use crate::platform::store::{Client, Error, Event, List, Object};
 
+mod topic_watch;
+
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Backoff after the first failed call; doubles up to `MAX_BACKOFF`.
@@ -55,6 +57,7 @@
         port: settings.ports[0],
         own: settings.message_address(),
         limit: settings.bounds.config_limit(),
+        is_gateway: settings.target.is_none(),
     };
     tokio::spawn(eras::run(catalog.clone()));
     if contact.follows(Topic::Evacuations) {
@@ -166,16 +169,6 @@
     }
 }
 
-/// When the next watch is sent, and how long the store may take for its answer.
-struct Schedule {
-    /// Delay before the call.
-    delay: Duration,
-    /// Time for which the store waits for a change.
-    wait: Duration,
-    /// Time beyond that after which the answer counts as lost.
-    grace: Duration,
-}
-
 struct Follower<C: Clock> {
     topic: Topic,
     budget: Budget,
@@ -196,7 +189,7 @@
     /// to this node.
     async fn follow(&mut self, store: SocketAddr, precedence: Duration) {
         let topic = self.topic;
-        let mut client = Client::new(store);
+        let mut client = Client::new(store).telling(self.contact.arrivals());
         let mut backoff = INITIAL_BACKOFF;
         let mut revision = self.contact.revision(topic);
         let mut is_failing = false;
@@ -293,33 +286,6 @@
         }
     }
 
-    /// When to send the next watch. Its answer confirms the topic no later than an interval of the
-    /// budget after the last confirmation, though changes have come meanwhile.
-    fn schedule(&self) -> Schedule {
-        let (interval, grace) = (self.budget.watch_interval(), self.budget.answer_grace());
-        let (delay, wait) = (Duration::ZERO, Duration::ZERO);
-        if self.is_overdue {
-            return Schedule { delay, wait, grace };
-        }
-        let age = self
-            .contact
-            .topic_age(self.topic, Moment::of(&self.clock))
-            .unwrap_or_default();
-        let left = interval.saturating_sub(age);
-        if left.is_zero() {
-            // What this node has missed may be large.
-            let grace = interval + grace;
-            return Schedule { delay, wait, grace };
-        }
-        let delay = if self.has_changed {
-            left.min(self.budget.batch_delay(self.topic))
-        } else {
-            delay
-        };
-        let wait = left.saturating_sub(delay);
-        Schedule { delay, wait, grace }
-    }
-
     /// Lists the topic, or watches it from `revision`, once. Returns the revision to continue
     /// from.
     async fn sync_once(
@@ -336,20 +302,7 @@
             self.contact.record_topic(self.topic, asked);
             return Ok(revision);
         };
-        let Schedule { delay, wait, grace } = self.schedule();
-        if !delay.is_zero() {
-            time::sleep(delay).await;
-        }
-        let asked = Moment::of(&self.clock);
-        let changes = client.watch(self.topic, revision, wait, grace).await?;
-        // A relay that was suspended reads answers that are as old as the suspension.
-        let now = Moment::of(&self.clock);
-        self.contact.record(now);
-        let confirmed = if changes.events.is_empty() {
-            asked.after(wait.min(now.since(asked)))
-        } else {
-            asked
-        };
+        let (changes, confirmed) = self.watch(client, revision).await?;
         self.has_changed = !changes.events.is_empty();
         let next = changes.revision.max(revision);
         if self.topic == Topic::Evacuations {
--- a/src/node/freshness.rs
+++ b/src/node/freshness.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::Moment;
 use crate::fleet::catalog::{Catalog, Topic};
+use crate::net::arrivals::Arrivals;
 use crate::node::budget::Budget;
 use crate::node::settings::Bounds;
 
@@ -35,6 +36,10 @@
     last: Arc<Mutex<Option<Moment>>>,
     /// Confirmations by calls of this node and by relays, in the order of [`Topic::ALL`].
     topics: Arc<Mutex<[Confirmation; Topic::ALL.len()]>>,
+    /// Answers of the store and of relays that are arriving.
+    arrivals: Arrivals,
+    /// When the relay that this node follows last said that it is receiving an answer.
+    receiving: Arc<Mutex<Option<Moment>>>,
     /// Notified when the catalog was confirmed again.
     confirmed: Arc<watch::Sender<()>>,
     /// Held by the topic that probes an unreachable store for all of them.
@@ -50,6 +55,8 @@
             budgets: Topic::ALL.map(|t| Budget::of(t, bounds)),
             last: Arc::default(),
             topics: Arc::default(),
+            arrivals: Arrivals::default(),
+            receiving: Arc::default(),
             confirmed: Arc::new(watch::channel(()).0),
             probe_lock: Arc::default(),
         }
@@ -97,6 +104,31 @@
         self.confirmed.subscribe()
     }
 
+    /// Where calls tell of answers that are arriving.
+    #[must_use]
+    pub fn arrivals(&self) -> Arrivals {
+        self.arrivals.clone()
+    }
+
+    /// Records at `now` whether the relay that this node follows is receiving an answer.
+    pub fn record_receiving(&self, is_receiving: bool, now: Moment) {
+        *self.receiving.lock() = is_receiving.then_some(now);
+    }
+
+    /// Whether this node, or the relay that it follows, is receiving an answer of the store. What it
+    /// lacks is on its way then.
+    ///
+    /// Load pattern: a configuration of many routes changes and takes longer than the rest of a
+    /// lease on the links of relays. If all nodes turned to the store meanwhile, each would send
+    /// for the whole of it over the same links.
+    #[must_use]
+    pub fn is_receiving(&self, now: Moment) -> bool {
+        let base = self.base();
+        let told = *self.receiving.lock();
+        self.arrivals.is_active(base.poll_hold())
+            || told.is_some_and(|at| now.since(at) < base.poll_limit())
+    }
+
     /// Records that the store answered a call of this node.
     pub fn record(&self, now: Moment) {
         *self.last.lock() = Some(now);
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -107,7 +107,11 @@
     let mut confirmations = contact.subscribe();
     let budget = contact.base();
     let age = contact.age(asked).unwrap_or_default();
-    let hold = { budget.shortest_lease().saturating_sub(age) }.min(budget.poll_hold());
+    let hold = if contact.is_receiving(asked) {
+        budget.poll_hold()
+    } else {
+        { budget.shortest_lease().saturating_sub(age) }.min(budget.poll_hold())
+    };
     let gains = || {
         let now = Moment::of(clock);
         let theirs = known.age_ms.map(Duration::from_millis);
@@ -145,6 +149,7 @@
         era: snapshot.era(),
         has_evacuations,
         revisions,
+        is_receiving: contact.is_receiving(now),
     };
     Some(response.encode_to_vec().into())
 }
@@ -160,6 +165,8 @@
     pub own: SocketAddr,
     /// Time within which a change must be in force.
     pub limit: Duration,
+    /// Whether this node sends callers' requests to targets.
+    pub is_gateway: bool,
 }
 
 impl Region {
@@ -171,9 +178,14 @@
 
     /// Lease of this node; `draw`, a uniform random number in 0..1, spreads those of all nodes.
     fn lease(&self, relays: &[SocketAddr], budget: Budget, draw: f64) -> Duration {
-        // Nodes that are no relays wait for half of the time over which patience is spread.
+        // Patience is at most half of the time that it is derived from.
         let spread = budget.lease_spread() * 2;
-        budget.shortest_lease() + choice::patience(relays, self.own, spread, draw)
+        let lease = budget.shortest_lease() + choice::patience(relays, self.own, spread, draw);
+        if self.is_gateway || relays.contains(&self.own) {
+            lease
+        } else {
+            lease + budget.host_extension()
+        }
     }
 
     /// Time that the relays get after an outage of the store.
@@ -252,9 +264,16 @@
             None => region.limit.saturating_sub(now.since(started)),
         };
         let lease_end = time::Instant::now() + left;
-        // Relays can take long to answer, or fall silent: the lease ends all the same.
+        // Relays can take long to answer, or fall silent: the lease ends all the same, except while
+        // the answer is arriving.
+        let contact = follower.contact.clone();
+        let clock = follower.clock.clone();
+        let last_end = lease_end + budget.receiving_extension();
         let expired = async {
             time::sleep_until(lease_end).await;
+            while contact.is_receiving(Moment::of(&clock)) && time::Instant::now() < last_end {
+                time::sleep(budget.poll_gain()).await;
+            }
             set_mode(&mode, direct, "lease ended");
             future::pending::<()>().await;
         };
@@ -345,7 +364,8 @@
             Some((_, connection)) => connection,
             None => net::Connection::open(relay, budget.connect_limit())
                 .await
-                .context(NetSnafu)?,
+                .context(NetSnafu)?
+                .telling(self.contact.arrivals()),
         };
         let asked = Moment::of(&self.clock);
         let limits = (budget.poll_limit(), BODY_TIMEOUT);
@@ -369,7 +389,14 @@
             return StaleSnafu { address, reason }.fail();
         }
         let age = Duration::from_millis(response.age_ms);
-        if age > budget.shortest_lease() {
+        let now = Moment::of(&self.clock);
+        self.contact.record_receiving(response.is_receiving, now);
+        let longest = if response.is_receiving {
+            budget.shortest_lease() + budget.receiving_extension()
+        } else {
+            budget.shortest_lease()
+        };
+        if age > longest {
             let reason = format!("last confirmed {} ms ago", response.age_ms);
             let address = relay;
             return StaleSnafu { address, reason }.fail();
--- a/src/node/relay/codec.rs
+++ b/src/node/relay/codec.rs
@@ -54,6 +54,9 @@
     /// the order of [`Topic::ALL`]; 0 if unknown, empty from processes of earlier versions.
     #[prost(uint64, repeated, tag = "6")]
     pub revisions: Vec<u64>,
+    /// Whether the relay is receiving an answer of the store.
+    #[prost(bool, tag = "7")]
+    pub is_receiving: bool,
 }
 
 /// One topic of the catalog.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,6 +13,7 @@
 use crate::fleet::catalog::Topic;
 use crate::fleet::revision;
 use crate::net;
+use crate::net::arrivals::Arrivals;
 
 mod lenient;
 mod pages;
@@ -145,6 +146,7 @@
 pub struct Client {
     address: SocketAddr,
     connection: Option<net::Connection>,
+    arrivals: Arrivals,
 }
 
 fn kind(topic: Topic) -> &'static str {
@@ -163,9 +165,17 @@
         Self {
             address,
             connection: None,
+            arrivals: Arrivals::default(),
         }
     }
 
+    /// Tells `arrivals` of answers that are arriving.
+    #[must_use]
+    pub fn telling(mut self, arrivals: Arrivals) -> Self {
+        self.arrivals = arrivals;
+        self
+    }
+
     /// Lists all objects of a topic, page by page.
     ///
     /// # Errors
@@ -256,7 +266,8 @@
             Some(connection) => connection,
             None => net::Connection::open(self.address, CONNECT_TIMEOUT)
                 .await
-                .context(NetSnafu)?,
+                .context(NetSnafu)?
+                .telling(self.arrivals.clone()),
         };
         let mut request = Request::new(Full::default());
         *request.uri_mut() = path.parse().unwrap_or_default();
@@ -264,8 +275,10 @@
         if let Ok(host) = host {
             request.headers_mut().insert(header::HOST, host);
         }
-        let response = connection.call(request, limit, MAX_RESPONSE).await;
-        let response = response.context(NetSnafu)?;
+        // An answer that has begun is not lost.
+        let limits = (limit, RESPONSE_TIMEOUT);
+        let response = connection.call_with_limits(request, limits, MAX_RESPONSE);
+        let response = response.await.context(NetSnafu)?;
         self.connection = Some(connection);
         let era = response.headers().get(ERA).and_then(|e| e.to_str().ok());
         let era = era.and_then(|e| e.trim().parse().ok()).unwrap_or(0);
--- a/standins/src/users/store.rs
+++ b/standins/src/users/store.rs
@@ -42,6 +42,8 @@
     unanswered: Arc<Mutex<Vec<String>>>,
     unanswered_calls: Arc<AtomicUsize>,
     full_cost: Arc<AtomicUsize>,
+    /// Numbers of the VMs that made them.
+    callers: Arc<Mutex<Vec<u8>>>,
     /// Kinds of the lists that were answered without stale data, with the number of the VM.
     lists: Arc<Mutex<Vec<(String, u8)>>>,
     changed: Arc<Notify>,
@@ -97,6 +99,12 @@
         self.full_cost.load(Ordering::Relaxed)
     }
 
+    /// Numbers of the VMs that made the calls of [`Self::full_cost_calls`], in order.
+    #[must_use]
+    pub fn full_cost_vms(&self) -> Vec<u8> {
+        self.callers.lock().clone()
+    }
+
     /// Numbers of the VMs whose lists of `kind` were answered without stale data, in order.
     #[must_use]
     pub fn listing_vms(&self, kind: &str) -> Vec<u8> {
@@ -187,6 +195,7 @@
     async fn answer(&self, uri: &Uri, vm: u8) -> Result<HttpResponse, Error> {
         if query(uri, "stale_ok") != Some("1") {
             self.full_cost.fetch_add(1, Ordering::Relaxed);
+            self.callers.lock().push(vm);
         }
         if self.is_rejected(vm) {
             return Ok(full_response(StatusCode::SERVICE_UNAVAILABLE, ""));
--- a/standins/tests/change_budget.rs
+++ b/standins/tests/change_budget.rs
@@ -37,6 +37,9 @@
 /// Time from there until the configuration changes.
 const CONFIG_DELAY: Duration = Duration::from_millis(100);
 
+/// Routes of a large configuration.
+const LARGE: usize = 1_600;
+
 /// What becomes of the relay with the given index.
 #[derive(Clone, Copy, Debug)]
 enum Event {
@@ -128,13 +131,17 @@
         Instant::now()
     }
 
-    /// Adds a route with the prefix `/second/`.
-    fn change_config(&self) -> Instant {
+    /// Adds a route with the prefix `/second/`, and `more` others.
+    fn change_config(&self, more: usize) -> Instant {
         let mut spec = users::config_spec(2, self.fleet.net.address(2, 8000), CHUNKS);
-        let mut route = spec["routes"][2].clone();
-        route["name"] = json!("second");
-        route["path_prefix"] = json!("/second/");
-        spec["routes"].as_array_mut().unwrap().push(route);
+        let route = spec["routes"][2].clone();
+        let names = (0..more).map(|n| format!("more-{n}"));
+        for name in names.chain(["second".to_owned()]) {
+            let mut route = route.clone();
+            route["path_prefix"] = json!(format!("/{name}/"));
+            route["name"] = json!(name);
+            spec["routes"].as_array_mut().unwrap().push(route);
+        }
         self.fleet.store.put("config", "main", spec);
         Instant::now()
     }
@@ -175,7 +182,7 @@
         .partition(|(after, _)| *after <= CONFIG_DELAY);
     region.play(start, &early).await;
     time::sleep_until((start + CONFIG_DELAY).into()).await;
-    let configured = region.change_config();
+    let configured = region.change_config(0);
     region.play(start, &later).await;
     let mut late = Vec::new();
     for (vm, using) in GATEWAYS.zip(using) {
@@ -273,3 +280,23 @@
         "{calls} calls, {allowed} allowed"
     );
 }
+
+/// A configuration of many routes took longer than a lease on the links of the relays. All nodes
+/// turned to the store, each for the whole of it, over links that they share, and other changes came
+/// late.
+#[tokio::test]
+async fn nodes_wait_while_a_large_configuration_arrives() {
+    let region = Region::start(13).await;
+    region.links.iter().for_each(Proxy::slow_down);
+    let before = region.fleet.store.full_cost_vms().len();
+    let changed = region.change_config(LARGE);
+    for gateway in &region.gateways {
+        call_until_ok(*gateway, Method::GET, "/second/x").await;
+    }
+    let limits = Budget::of(Topic::Config, &bounds());
+    let took = changed.elapsed();
+    assert!(took > limits.longest_lease(), "too small: {took:?}");
+    let callers = region.fleet.store.full_cost_vms().split_off(before);
+    let gateways = callers.iter().filter(|vm| GATEWAYS.contains(vm)).count();
+    assert_eq!(gateways, 0, "calls of VMs {callers:?}");
+}
