--- a/src/node/budget.rs
+++ b/src/node/budget.rs
@@ -3,7 +3,7 @@
 //!
 //! A confirmation says that a node had, at some moment, every change that the store had
 //! acknowledged. It travels with the changes, from the store to the first relay, to the other
-//! relays and to all other nodes, and it always bears the moment at which the store was asked. A
+//! relays and to all other nodes, and it counts from a moment before the store's answer was sent. A
 //! node whose confirmation has reached the age of its lease asks the store itself, whatever its
 //! relays do meanwhile. Relays that are stale, suspended, without power or cut off, one way too,
 //! therefore all cost the same: the rest of the lease and one call.
