--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -20,8 +20,6 @@
 const CHUNKS: usize = 64;
 const CHUNK_BYTES: usize = 32_768;
 const MODEL: &str = "m0";
-const HOSTS: u8 = 9;
-const GATEWAYS: u8 = 4;
 const CLIENTS_PER_GATEWAY: u32 = 3;
 const VERSION_MS: u128 = 8_000;
 const KEY: &str = "key-of-rounds";
@@ -228,10 +226,9 @@
 
 // ---------------------------------------------------------------- proxy
 
-/// Proxy before the store. Its open channels can be made silent for good; new ones work.
+/// Proxy before the store. An open channel can be made silent for good; new ones work.
 #[derive(Clone, Default)]
 struct Proxy {
-    open: Arc<Mutex<Vec<Arc<AtomicBool>>>>,
     /// When the last watch of releases passed, and its channel.
     release_watch: Arc<Mutex<Option<(Instant, Arc<AtomicBool>)>>>,
 }
@@ -244,7 +241,6 @@
             for stream in listener.incoming().flatten() {
                 let Ok(to) = TcpStream::connect(store) else { continue };
                 let silent = Arc::new(AtomicBool::new(false));
-                proxy.open.lock().unwrap().push(silent.clone());
                 let (from, back) = (stream.try_clone().unwrap(), to.try_clone().unwrap());
                 let (watcher, other) = (proxy.release_watch.clone(), silent.clone());
                 thread::spawn(move || pump(stream, to, &silent, Some(&watcher)));
@@ -253,11 +249,9 @@
         });
     }
 
-    /// Makes the channels that are open now silent, or only that of the last watch of releases.
-    fn silence(&self, is_all: bool) {
-        if is_all {
-            self.open.lock().unwrap().iter().for_each(|silent| silent.store(true, Ordering::SeqCst));
-        } else if let Some((_, silent)) = &*self.release_watch.lock().unwrap() {
+    /// Makes the channel of the last watch of releases silent.
+    fn silence(&self) {
+        if let Some((_, silent)) = &*self.release_watch.lock().unwrap() {
             silent.store(true, Ordering::SeqCst);
         }
     }
@@ -545,22 +539,71 @@
     }
 }
 
+// ---------------------------------------------------------------- plain servers
+
+/// Server of the plain service.
+struct Desk {
+    id: String,
+    /// Requests that it ran.
+    ran: Mutex<Vec<String>>,
+}
+
+impl Desk {
+    fn start(id: String, address: SocketAddr, store: &Store, record: &Record) -> Arc<Self> {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+        let spec = format!(
+            r#"{{"service":"desk","address":"{address}","zone":"z-a","version":"v1","slots":6,"state":"ready","cold_remaining_ms":0,"sequence":0,"born":{born}}}"#
+        );
+        store.put("servers", &id, spec);
+        let desk = Arc::new(Self { id, ran: Mutex::default() });
+        let (served, record) = (desk.clone(), record.clone());
+        serve(address, move |request, stream| {
+            let header = |name: &str| request.headers.get(name).cloned().unwrap_or_default();
+            let id = header("x-corianderramp-request-id");
+            let echo = format!("x-corianderramp-request-id: {id}\r\n");
+            if header("x-corianderramp-expect-instance") != served.id {
+                return respond(stream, 421, &format!("{echo}x-corianderramp-not-run: 1\r\n"), b"");
+            }
+            record.add(format!("server {} runs request {id}", served.id));
+            served.ran.lock().unwrap().push(id.clone());
+            thread::sleep(Duration::from_millis(15));
+            let extra = format!("{echo}x-corianderramp-server-stamp: {}.{id}\r\nx-corianderramp-server-load: 1,0,6\r\n", served.id);
+            respond(stream, 200, &extra, format!("booked {id}").as_bytes())
+        });
+        desk
+    }
+}
+
 // ---------------------------------------------------------------- clients
 
-/// Sends one request on a new channel; returns the status and whether the answer is complete.
+/// Sends one streaming request on a new channel; returns the status and whether the answer is
+/// complete.
 fn send(gateway: SocketAddr, id: &str) -> Option<(u16, bool)> {
-    let mut stream = TcpStream::connect_timeout(&gateway, Duration::from_secs(1)).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(6))).ok()?;
     let request = format!(
         "POST /plan/round HTTP/1.1\r\nhost: a.example\r\nconnection: close\r\napi-key: {KEY}\r\nx-corianderramp-request-id: {id}\r\nx-corianderramp-deadline-ms: 6000\r\nx-corianderramp-model: {MODEL}\r\nx-corianderramp-token-count: 640,60\r\nx-corianderramp-prompt-prefix: 5c1e07a2:40,{:x}:600\r\ncontent-length: 2\r\n\r\n{{}}",
         id.bytes().fold(7u64, |h, b| h.wrapping_mul(31).wrapping_add(b.into()))
     );
+    let (status, headers, body) = exchange(gateway, &request)?;
+    let is_chunked = headers.contains_key("transfer-encoding");
+    Some((status, !is_chunked || body.ends_with(b"0\r\n\r\n")))
+}
+
+/// Sends one booking on a new channel; returns the status, the headers and the body.
+fn book(gateway: SocketAddr, id: &str) -> Option<(u16, HashMap<String, String>, Vec<u8>)> {
+    let request = format!(
+        "POST /book/pitch HTTP/1.1\r\nhost: a.example\r\nconnection: close\r\napi-key: {KEY}\r\nx-corianderramp-request-id: {id}\r\nx-corianderramp-deadline-ms: 1500\r\ncontent-length: 16\r\n\r\n{id:016}"
+    );
+    exchange(gateway, &request)
+}
+
+fn exchange(gateway: SocketAddr, request: &str) -> Option<(u16, HashMap<String, String>, Vec<u8>)> {
+    let mut stream = TcpStream::connect_timeout(&gateway, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(6))).ok()?;
     stream.write_all(request.as_bytes()).ok()?;
     let (head, mut body) = read_head(&mut stream, Vec::new())?;
     let status = head.split(' ').nth(1)?.parse().ok()?;
     let _ = stream.read_to_end(&mut body);
-    let is_chunked = headers(&head).contains_key("transfer-encoding");
-    Some((status, !is_chunked || body.ends_with(b"0\r\n\r\n")))
+    Some((status, headers(&head), body))
 }
 
 // ---------------------------------------------------------------- processes
@@ -621,7 +664,7 @@
 
 fn config(origin: SocketAddr) -> String {
     format!(
-        r#"{{"version":1,"routes":[{{"name":"plan","host":"a.example","path_prefix":"/plan/","kind":"streaming","timeout_ms":6000,"target_latency_ms":400,"gap_target_ms":300,"priority":1,"service":"llm","max_attempts":2,"public":false,"stream_resume":true,"session_affinity":true}}],"services":[{{"name":"llm","max_connections":780,"engine":{{"slots":16,"step_ms":6.73,"per_seq_ms":0.05,"read_per_s":30600.0,"usual":{{"prompt":640,"answer":60}},"layers":16,"chunks":{CHUNKS},"models":[{{"name":"{MODEL}","warm_s":0.3}}]}}}},{{"name":"depot","origin":"{origin}","link_mbps":9.9,"max_connections":103}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"rounds","api_keys":["{KEY}"]}}]}}"#
+        r#"{{"version":1,"routes":[{{"name":"plan","host":"a.example","path_prefix":"/plan/","kind":"streaming","timeout_ms":6000,"target_latency_ms":400,"gap_target_ms":300,"priority":1,"service":"llm","max_attempts":2,"public":false,"stream_resume":true,"session_affinity":true}},{{"name":"book","host":"a.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":1500,"target_latency_ms":100,"priority":2,"service":"desk","max_attempts":2,"public":false}}],"services":[{{"name":"desk","max_connections":214}},{{"name":"llm","max_connections":780,"engine":{{"slots":16,"step_ms":6.73,"per_seq_ms":0.05,"read_per_s":30600.0,"usual":{{"prompt":640,"answer":60}},"layers":16,"chunks":{CHUNKS},"models":[{{"name":"{MODEL}","warm_s":0.3}}]}}}},{{"name":"depot","origin":"{origin}","link_mbps":9.9,"max_connections":103}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"rounds","api_keys":["{KEY}"]}}]}}"#
     )
 }
 
@@ -640,6 +683,7 @@
     let temp = temp_folder();
     let code = match case.as_str() {
         "silent-release" => silent_release(daemon, Path::new(folder), &temp, is_troubled),
+        "partial-entry" => partial_entry(daemon, Path::new(folder), &temp, is_troubled),
         _ => give_up("unknown case"),
     };
     if std::env::var_os("KEEP").is_none() {
@@ -648,38 +692,62 @@
     std::process::exit(code)
 }
 
-/// The open channels of the system's processes to the store go silent; just after that, new
-/// weights are named. New channels work.
-fn silent_release(daemon: &str, folder: &Path, temp: &Path, is_troubled: bool) -> i32 {
-    let (net, record, store, proxy) = (Net::draw(), Record::new(), Store::default(), Proxy::default());
-    let (store_at, proxy_at, origin_at) = (net.at(1, 8000), net.at(1, 8007), net.at(2, 8000));
-    store.start(store_at);
-    proxy.start(proxy_at, store_at);
-    start_origin(origin_at);
-    store.put("versions", MODEL, format!(r#"{{"model":"{MODEL}","version":1}}"#));
-    let hosts: Vec<u8> = (10..10 + HOSTS).collect();
-    let engines: Vec<Arc<Engine>> =
-        hosts.iter().map(|vm| Engine::start(format!("i-{vm:08x}"), net.at(*vm, 9000), &store, &record)).collect();
-    store.put("config", "main", config(origin_at));
-    let gateways: Vec<u8> = (40..40 + GATEWAYS).collect();
-    let mut processes = Vec::new();
-    for (role, vms) in [("host", &hosts), ("gateway", &gateways)] {
-        for vm in vms {
-            let path = temp.join(format!("{role}-{vm}.toml"));
-            std::fs::write(&path, settings(&net, role, *vm, proxy_at)).unwrap();
-            processes.push(start_process(daemon, &path));
+/// The system's processes with everything around them.
+struct World {
+    record: Record,
+    store: Store,
+    proxy: Proxy,
+    net: Net,
+    engines: Vec<Arc<Engine>>,
+    desks: Vec<Arc<Desk>>,
+    /// Addresses of the gateways for clients.
+    callers: Vec<SocketAddr>,
+    processes: Vec<Process>,
+}
+
+impl World {
+    /// Starts the processes and waits until each gateway serves; `None` if one does not.
+    fn start(daemon: &str, temp: &Path, hosts: u8, gateways: u8, desks: u8) -> Option<Self> {
+        let (net, record, store, proxy) = (Net::draw(), Record::new(), Store::default(), Proxy::default());
+        let (store_at, proxy_at, origin_at) = (net.at(1, 8000), net.at(1, 8007), net.at(2, 8000));
+        store.start(store_at);
+        proxy.start(proxy_at, store_at);
+        start_origin(origin_at);
+        store.put("versions", MODEL, format!(r#"{{"model":"{MODEL}","version":1}}"#));
+        let hosts: Vec<u8> = (10..10 + hosts).collect();
+        let engines = hosts.iter().map(|vm| Engine::start(format!("i-{vm:08x}"), net.at(*vm, 9000), &store, &record));
+        let engines = engines.collect();
+        let desks = (60..60 + desks).map(|vm| Desk::start(format!("i-{vm:08x}"), net.at(vm, 9000), &store, &record));
+        let desks = desks.collect();
+        store.put("config", "main", config(origin_at));
+        let gateways: Vec<u8> = (40..40 + gateways).collect();
+        let mut processes = Vec::new();
+        for (role, vms) in [("host", &hosts), ("gateway", &gateways)] {
+            for vm in vms {
+                let path = temp.join(format!("{role}-{vm}.toml"));
+                std::fs::write(&path, settings(&net, role, *vm, proxy_at)).ok()?;
+                processes.push(start_process(daemon, &path));
+            }
         }
-    }
-    let limit = Instant::now() + Duration::from_secs(15);
-    let callers: Vec<SocketAddr> = gateways.iter().map(|vm| net.at(*vm, 8005)).collect();
-    while !callers.iter().all(|g| send(*g, &format!("warm-{g}")).is_some_and(|a| a.0 == 200)) {
-        if Instant::now() > limit {
-            record.write(&folder.join("record.txt"));
-            eprintln!("can't run: a gateway does not serve");
-            return 2;
+        let limit = Instant::now() + Duration::from_secs(15);
+        let callers: Vec<SocketAddr> = gateways.iter().map(|vm| net.at(*vm, 8005)).collect();
+        while !callers.iter().all(|g| send(*g, &format!("warm-{g}")).is_some_and(|a| a.0 == 200)) {
+            if Instant::now() > limit {
+                eprintln!("can't run: a gateway does not serve");
+                return None;
+            }
+            thread::sleep(Duration::from_millis(200));
         }
-        thread::sleep(Duration::from_millis(200));
+        Some(Self { record, store, proxy, net, engines, desks, callers, processes })
     }
+}
+
+/// The channel on which a host watches the releases goes silent; just after that, new weights are
+/// named. New channels work.
+fn silent_release(daemon: &str, folder: &Path, temp: &Path, is_troubled: bool) -> i32 {
+    const HOSTS: u8 = 9;
+    let Some(world) = World::start(daemon, temp, HOSTS, 4, 0) else { return 2 };
+    let World { record, store, proxy, engines, callers, processes, .. } = world;
     let (is_over, count) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
     let clients: Vec<_> = callers
         .iter()
@@ -709,7 +777,7 @@
     }
     thread::sleep(Duration::from_millis(40));
     if is_troubled {
-        proxy.silence(std::env::var_os("ALL").is_some());
+        proxy.silence();
         record.add("the channel of the watch of releases goes silent".into());
     }
     thread::sleep(Duration::from_millis(20));
@@ -744,3 +812,62 @@
     }
     0
 }
+
+/// An entry of another writer appears among the servers: some of the fields that the platform's page
+/// lists are missing. What listens at its address is no server of the platform.
+fn partial_entry(daemon: &str, folder: &Path, temp: &Path, is_troubled: bool) -> i32 {
+    let Some(world) = World::start(daemon, temp, 3, 2, 3) else { return 2 };
+    let World { record, store, net, desks, callers, processes, .. } = world;
+    let foreign = net.at(90, 9000);
+    let taken: Arc<Mutex<Vec<String>>> = Arc::default();
+    let (listener, log) = (taken.clone(), record.clone());
+    serve(foreign, move |request, stream| {
+        let id = request.headers.get("x-corianderramp-request-id").cloned().unwrap_or_default();
+        log.add(format!("the program at the foreign address gets {} {} with request {id}", request.method, request.path));
+        listener.lock().unwrap().push(id);
+        respond(stream, 200, "content-type: text/plain\r\n", b"it works")
+    });
+    let mut answers = Vec::new();
+    for round in 0..2 {
+        if round == 1 && is_troubled {
+            let spec = format!(r#"{{"service":"desk","address":"{foreign}","zone":"z-a","slots":6,"state":"ready"}}"#);
+            store.put("servers", "desk-of-another-writer", spec);
+            record.add("an entry without version, cold_remaining_ms and sequence appears".into());
+        }
+        thread::sleep(Duration::from_secs(3));
+        for n in 0..100 {
+            let id = format!("{:016x}", 0x2000_0000 + round * 1000 + n);
+            record.add(format!("client sends booking {id}"));
+            let answer = book(callers[n % callers.len()], &id);
+            let status = answer.as_ref().map(|a| a.0);
+            let stamp = answer.as_ref().and_then(|a| a.1.get("x-corianderramp-server-stamp").cloned());
+            let body = answer.map(|a| String::from_utf8_lossy(&a.2).into_owned());
+            record.add(format!("booking {id} is answered {status:?}, stamp {stamp:?}, body {body:?}"));
+            answers.push((id, status, stamp));
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+    drop(processes);
+    let ran: Vec<String> = desks.iter().flat_map(|d| d.ran.lock().unwrap().clone()).collect();
+    let is_success = |status: &Option<u16>| status.is_some_and(|s| (200..300).contains(&s));
+    let served = answers.iter().filter(|(_, status, stamp)| is_success(status) && stamp.is_some()).count();
+    let mixed: Vec<&String> =
+        answers.iter().filter(|(_, status, stamp)| is_success(status) && stamp.is_none()).map(|a| &a.0).collect();
+    let lost = mixed.iter().filter(|id| !ran.contains(id)).count();
+    let sent = taken.lock().unwrap().len();
+    let summary = format!(
+        "{} bookings, {served} answered by a server; {sent} went to the foreign address, {} were answered 2xx without a stamp, of which no server ran {lost}",
+        answers.len(),
+        mixed.len()
+    );
+    record.add(summary.clone());
+    record.write(&folder.join("record.txt"));
+    println!("MIXED: {summary}");
+    if !mixed.is_empty() {
+        return 1;
+    }
+    if served < 150 {
+        return 2;
+    }
+    0
+}
