--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -34,7 +34,10 @@
 
 impl Record {
     fn new() -> Self {
-        Self { start: Instant::now(), lines: Arc::default() }
+        Self {
+            start: Instant::now(),
+            lines: Arc::default(),
+        }
     }
 
     fn add(&self, text: String) -> Instant {
@@ -81,7 +84,9 @@
 
 fn headers(head: &str) -> HashMap<String, String> {
     let lines = head.lines().skip(1).filter_map(|l| l.split_once(':'));
-    lines.map(|(n, v)| (n.trim().to_lowercase(), v.trim().to_owned())).collect()
+    lines
+        .map(|(n, v)| (n.trim().to_lowercase(), v.trim().to_owned()))
+        .collect()
 }
 
 /// Reads a request; returns it and the bytes after it.
@@ -90,7 +95,10 @@
     let headers = headers(&head);
     let mut first = head.lines().next()?.split(' ');
     let (method, target) = (first.next()?.to_owned(), first.next()?.to_owned());
-    let length: usize = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let length: usize = headers
+        .get("content-length")
+        .and_then(|l| l.parse().ok())
+        .unwrap_or(0);
     let mut buffer = [0; 65_536];
     while body.len() < length {
         match stream.read(&mut buffer) {
@@ -103,19 +111,35 @@
     let query = query.split('&').filter_map(|p| p.split_once('='));
     let query = query.map(|(k, v)| (k.to_owned(), v.to_owned())).collect();
     let path = path.to_owned();
-    Some((Request { method, path, query, headers, body }, rest))
+    Some((
+        Request {
+            method,
+            path,
+            query,
+            headers,
+            body,
+        },
+        rest,
+    ))
 }
 
 fn respond(stream: &mut TcpStream, status: u16, extra: &str, body: &[u8]) -> bool {
-    let head = format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n{extra}\r\n", body.len());
+    let head = format!(
+        "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n{extra}\r\n",
+        body.len()
+    );
     let mut bytes = head.into_bytes();
     bytes.extend_from_slice(body);
     stream.write_all(&bytes).is_ok()
 }
 
 /// Serves each connection on a thread of its own until the process ends.
-fn serve(address: SocketAddr, handle: impl Fn(Request, &mut TcpStream) -> bool + Send + Sync + 'static) {
-    let listener = TcpListener::bind(address).unwrap_or_else(|e| give_up(&format!("{address}: {e}")));
+fn serve(
+    address: SocketAddr,
+    handle: impl Fn(Request, &mut TcpStream) -> bool + Send + Sync + 'static,
+) {
+    let listener =
+        TcpListener::bind(address).unwrap_or_else(|e| give_up(&format!("{address}: {e}")));
     let handle = Arc::new(handle);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -168,12 +192,20 @@
     /// Creates or replaces an object. A write that changes nothing has no effect.
     fn put(&self, kind: &str, name: &str, spec: String) {
         let mut state = self.0.0.lock().unwrap();
-        let found = state.objects.iter().position(|o| o.kind == kind && o.name == name);
+        let found = state
+            .objects
+            .iter()
+            .position(|o| o.kind == kind && o.name == name);
         if found.is_some_and(|i| state.objects[i].spec == spec) {
             return;
         }
         state.revision += 1;
-        let object = Object { kind: kind.into(), name: name.into(), revision: state.revision, spec };
+        let object = Object {
+            kind: kind.into(),
+            name: name.into(),
+            revision: state.revision,
+            spec,
+        };
         state.events.push(object.clone());
         match found {
             Some(i) => state.objects[i] = object,
@@ -191,12 +223,21 @@
             thread::sleep(Duration::from_millis(4));
             let body = match request.query.get("watch").and_then(|w| w.parse().ok()) {
                 Some(since) => {
-                    let wait = request.query.get("wait_ms").and_then(|w| w.parse().ok()).unwrap_or(0);
+                    let wait = request
+                        .query
+                        .get("wait_ms")
+                        .and_then(|w| w.parse().ok())
+                        .unwrap_or(0);
                     store.watch(kind, since, Duration::from_millis(wait))
                 }
                 None => store.list(kind),
             };
-            respond(stream, 200, "content-type: application/json\r\n", body.as_bytes())
+            respond(
+                stream,
+                200,
+                "content-type: application/json\r\n",
+                body.as_bytes(),
+            )
         });
     }
 
@@ -205,19 +246,31 @@
         let mut items: Vec<&Object> = state.objects.iter().filter(|o| o.kind == kind).collect();
         items.sort_by(|a, b| a.name.cmp(&b.name));
         let items: Vec<String> = items.iter().map(|o| o.json()).collect();
-        format!(r#"{{"items":[{}],"has_more":false,"as_of":{}}}"#, items.join(","), state.revision)
+        format!(
+            r#"{{"items":[{}],"has_more":false,"as_of":{}}}"#,
+            items.join(","),
+            state.revision
+        )
     }
 
     fn watch(&self, kind: &str, since: u64, wait: Duration) -> String {
         let end = Instant::now() + wait;
         let mut state = self.0.0.lock().unwrap();
         loop {
-            let found = state.events.iter().filter(|o| o.kind == kind && o.revision > since);
-            let events: Vec<String> =
-                found.map(|o| format!(r#"{{"object":{},"removed":false}}"#, o.json())).collect();
+            let found = state
+                .events
+                .iter()
+                .filter(|o| o.kind == kind && o.revision > since);
+            let events: Vec<String> = found
+                .map(|o| format!(r#"{{"object":{},"removed":false}}"#, o.json()))
+                .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return format!(r#"{{"events":[{}],"as_of":{}}}"#, events.join(","), state.revision);
+                return format!(
+                    r#"{{"events":[{}],"as_of":{}}}"#,
+                    events.join(","),
+                    state.revision
+                );
             }
             state = self.0.1.wait_timeout(state, left).unwrap().0;
         }
@@ -235,11 +288,14 @@
 
 impl Proxy {
     fn start(&self, address: SocketAddr, store: SocketAddr) {
-        let listener = TcpListener::bind(address).unwrap_or_else(|e| give_up(&format!("{address}: {e}")));
+        let listener =
+            TcpListener::bind(address).unwrap_or_else(|e| give_up(&format!("{address}: {e}")));
         let proxy = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let Ok(to) = TcpStream::connect(store) else { continue };
+                let Ok(to) = TcpStream::connect(store) else {
+                    continue;
+                };
                 let silent = Arc::new(AtomicBool::new(false));
                 let (from, back) = (stream.try_clone().unwrap(), to.try_clone().unwrap());
                 let (watcher, other) = (proxy.release_watch.clone(), silent.clone());
@@ -261,7 +317,12 @@
     }
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, silent: &Arc<AtomicBool>, watcher: Option<&Mutex<Option<(Instant, Arc<AtomicBool>)>>>) {
+fn pump(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    silent: &Arc<AtomicBool>,
+    watcher: Option<&Mutex<Option<(Instant, Arc<AtomicBool>)>>>,
+) {
     let mut buffer = [0; 65_536];
     let mut watches = 0;
     while let Ok(n) = from.read(&mut buffer) {
@@ -304,10 +365,20 @@
 }
 
 fn sha256(data: &[u8]) -> String {
-    let primes: Vec<u64> = (2..312u64).filter(|n| (2..*n).take_while(|d| d * d <= *n).all(|d| n % d != 0)).collect();
+    let primes: Vec<u64> = (2..312u64)
+        .filter(|n| (2..*n).take_while(|d| d * d <= *n).all(|d| n % d != 0))
+        .collect();
     let fraction = |root: f64| ((root - root.floor()) * 4_294_967_296.0) as u32;
-    let k: Vec<u32> = primes.iter().take(64).map(|p| fraction((*p as f64).cbrt())).collect();
-    let mut h: Vec<u32> = primes.iter().take(8).map(|p| fraction((*p as f64).sqrt())).collect();
+    let k: Vec<u32> = primes
+        .iter()
+        .take(64)
+        .map(|p| fraction((*p as f64).cbrt()))
+        .collect();
+    let mut h: Vec<u32> = primes
+        .iter()
+        .take(8)
+        .map(|p| fraction((*p as f64).sqrt()))
+        .collect();
     let mut message = data.to_vec();
     message.push(0x80);
     while message.len() % 64 != 56 {
@@ -315,23 +386,45 @@
     }
     message.extend_from_slice(&(data.len() as u64 * 8).to_be_bytes());
     for block in message.chunks(64) {
-        let mut w: Vec<u32> =
-            block.chunks(4).map(|b| u32::from_be_bytes([b[0], b[1], b[2], b[3]])).collect();
+        let mut w: Vec<u32> = block
+            .chunks(4)
+            .map(|b| u32::from_be_bytes([b[0], b[1], b[2], b[3]]))
+            .collect();
         for i in 16..64 {
             let s0 = w[i - 15].rotate_right(7) ^ w[i - 15].rotate_right(18) ^ (w[i - 15] >> 3);
             let s1 = w[i - 2].rotate_right(17) ^ w[i - 2].rotate_right(19) ^ (w[i - 2] >> 10);
-            w.push(w[i - 16].wrapping_add(s0).wrapping_add(w[i - 7]).wrapping_add(s1));
+            w.push(
+                w[i - 16]
+                    .wrapping_add(s0)
+                    .wrapping_add(w[i - 7])
+                    .wrapping_add(s1),
+            );
         }
         let mut v = h.clone();
         for i in 0..64 {
             let s1 = v[4].rotate_right(6) ^ v[4].rotate_right(11) ^ v[4].rotate_right(25);
             let ch = (v[4] & v[5]) ^ (!v[4] & v[6]);
-            let t1 = v[7].wrapping_add(s1).wrapping_add(ch).wrapping_add(k[i]).wrapping_add(w[i]);
+            let t1 = v[7]
+                .wrapping_add(s1)
+                .wrapping_add(ch)
+                .wrapping_add(k[i])
+                .wrapping_add(w[i]);
             let s0 = v[0].rotate_right(2) ^ v[0].rotate_right(13) ^ v[0].rotate_right(22);
             let t2 = s0.wrapping_add((v[0] & v[1]) ^ (v[0] & v[2]) ^ (v[1] & v[2]));
-            v = vec![t1.wrapping_add(t2), v[0], v[1], v[2], v[3].wrapping_add(t1), v[4], v[5], v[6]];
+            v = vec![
+                t1.wrapping_add(t2),
+                v[0],
+                v[1],
+                v[2],
+                v[3].wrapping_add(t1),
+                v[4],
+                v[5],
+                v[6],
+            ];
         }
-        h.iter_mut().zip(v).for_each(|(h, v)| *h = h.wrapping_add(v));
+        h.iter_mut()
+            .zip(v)
+            .for_each(|(h, v)| *h = h.wrapping_add(v));
     }
     h.iter().map(|n| format!("{n:08x}")).collect()
 }
@@ -339,7 +432,11 @@
 fn start_origin(address: SocketAddr) {
     let manifests: Mutex<HashMap<u64, String>> = Mutex::default();
     serve(address, move |request, stream| {
-        let version = request.query.get("version").and_then(|v| v.parse().ok()).unwrap_or(1);
+        let version = request
+            .query
+            .get("version")
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(1);
         if request.path.starts_with("/manifest/") {
             let mut manifests = manifests.lock().unwrap();
             let body = manifests.entry(version).or_insert_with(|| {
@@ -350,7 +447,12 @@
                     digests.join(",")
                 )
             });
-            return respond(stream, 200, "content-type: application/json\r\n", body.as_bytes());
+            return respond(
+                stream,
+                200,
+                "content-type: application/json\r\n",
+                body.as_bytes(),
+            );
         }
         let index = request.query.get("item_count").and_then(|i| i.parse().ok());
         match index.filter(|i| *i < CHUNKS) {
@@ -388,7 +490,10 @@
 
 impl Engine {
     fn start(id: String, address: SocketAddr, store: &Store, record: &Record) -> Arc<Self> {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis();
         let state = Holdings {
             version: 1,
             staged: (0..CHUNKS).map(|i| (i, chunk(1, i))).collect(),
@@ -405,7 +510,9 @@
         });
         engine.register();
         let served = engine.clone();
-        serve(address, move |request, stream| served.handle(&request, stream));
+        serve(address, move |request, stream| {
+            served.handle(&request, stream)
+        });
         engine
     }
 
@@ -437,15 +544,27 @@
                     state.busy, state.sequence, state.running, self.born
                 );
                 drop(state);
-                respond(stream, 200, "content-type: application/json\r\n", body.as_bytes())
+                respond(
+                    stream,
+                    200,
+                    "content-type: application/json\r\n",
+                    body.as_bytes(),
+                )
             }
             ("PUT", path) if path.starts_with("/stage-put/") => {
-                let Some(index) = index else { return respond(stream, 400, "", b"") };
-                self.state.lock().unwrap().staged.insert(index, request.body.clone());
+                let Some(index) = index else {
+                    return respond(stream, 400, "", b"");
+                };
+                self.state
+                    .lock()
+                    .unwrap()
+                    .staged
+                    .insert(index, request.body.clone());
                 respond(stream, 200, "", b"")
             }
             ("GET", path) if path.starts_with("/stage-get/") => {
-                let staged = index.and_then(|i: usize| self.state.lock().unwrap().staged.get(&i).cloned());
+                let staged =
+                    index.and_then(|i: usize| self.state.lock().unwrap().staged.get(&i).cloned());
                 match staged {
                     Some(data) => respond(stream, 200, "", &data),
                     None => respond(stream, 404, "", b""),
@@ -465,7 +584,9 @@
             let rest = body.split_once(&format!("\"{name}\":"))?.1;
             rest.split([',', '}']).next()?.trim().parse().ok()
         };
-        let Some(version) = number("version") else { return 400 };
+        let Some(version) = number("version") else {
+            return 400;
+        };
         let mut state = self.state.lock().unwrap();
         if state.version == version && !state.busy {
             return 200;
@@ -478,7 +599,10 @@
         state.sequence += 1;
         drop(state);
         let note = if is_whole { "whole" } else { "NOT WHOLE" };
-        self.record.add(format!("engine {} takes the order for version {version}, {note}", self.id));
+        self.record.add(format!(
+            "engine {} takes the order for version {version}, {note}",
+            self.id
+        ));
         let engine = self.clone();
         thread::spawn(move || {
             while engine.state.lock().unwrap().running > 0 {
@@ -491,7 +615,9 @@
                 state.busy = false;
             }
             engine.register();
-            engine.record.add(format!("engine {} holds version {version}", engine.id));
+            engine
+                .record
+                .add(format!("engine {} holds version {version}", engine.id));
         });
         202
     }
@@ -517,8 +643,14 @@
             state.version
         };
         thread::sleep(Duration::from_millis(30));
-        self.begun.lock().unwrap().push((id.clone(), version, Instant::now()));
-        self.record.add(format!("request {id} begins on version {version} at {}", self.id));
+        self.begun
+            .lock()
+            .unwrap()
+            .push((id.clone(), version, Instant::now()));
+        self.record.add(format!(
+            "request {id} begins on version {version} at {}",
+            self.id
+        ));
         let after: u64 = header("last-event-id").parse().unwrap_or(0);
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\nx-corianderramp-request-id: {id}\r\nx-corianderramp-server-stamp: {}.{id}\r\nx-corianderramp-weight-versions: {version}\r\n\r\n",
@@ -527,7 +659,10 @@
         let mut is_open = stream.write_all(head.as_bytes()).is_ok();
         for event in after + 1..=10 {
             let data = format!("id: {event}\ndata: token {event} of {id}\n\n");
-            is_open = is_open && stream.write_all(format!("{:x}\r\n{data}\r\n", data.len()).as_bytes()).is_ok();
+            is_open = is_open
+                && stream
+                    .write_all(format!("{:x}\r\n{data}\r\n", data.len()).as_bytes())
+                    .is_ok();
             if !is_open {
                 break;
             }
@@ -550,24 +685,38 @@
 
 impl Desk {
     fn start(id: String, address: SocketAddr, store: &Store, record: &Record) -> Arc<Self> {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis();
         let spec = format!(
             r#"{{"service":"desk","address":"{address}","zone":"z-a","version":"v1","slots":6,"state":"ready","cold_remaining_ms":0,"sequence":0,"born":{born}}}"#
         );
         store.put("servers", &id, spec);
-        let desk = Arc::new(Self { id, ran: Mutex::default() });
+        let desk = Arc::new(Self {
+            id,
+            ran: Mutex::default(),
+        });
         let (served, record) = (desk.clone(), record.clone());
         serve(address, move |request, stream| {
             let header = |name: &str| request.headers.get(name).cloned().unwrap_or_default();
             let id = header("x-corianderramp-request-id");
             let echo = format!("x-corianderramp-request-id: {id}\r\n");
             if header("x-corianderramp-expect-instance") != served.id {
-                return respond(stream, 421, &format!("{echo}x-corianderramp-not-run: 1\r\n"), b"");
+                return respond(
+                    stream,
+                    421,
+                    &format!("{echo}x-corianderramp-not-run: 1\r\n"),
+                    b"",
+                );
             }
             record.add(format!("server {} runs request {id}", served.id));
             served.ran.lock().unwrap().push(id.clone());
             thread::sleep(Duration::from_millis(15));
-            let extra = format!("{echo}x-corianderramp-server-stamp: {}.{id}\r\nx-corianderramp-server-load: 1,0,6\r\n", served.id);
+            let extra = format!(
+                "{echo}x-corianderramp-server-stamp: {}.{id}\r\nx-corianderramp-server-load: 1,0,6\r\n",
+                served.id
+            );
             respond(stream, 200, &extra, format!("booked {id}").as_bytes())
         });
         desk
@@ -581,7 +730,8 @@
 fn send(gateway: SocketAddr, id: &str) -> Option<(u16, bool)> {
     let request = format!(
         "POST /plan/round HTTP/1.1\r\nhost: a.example\r\nconnection: close\r\napi-key: {KEY}\r\nx-corianderramp-request-id: {id}\r\nx-corianderramp-deadline-ms: 6000\r\nx-corianderramp-model: {MODEL}\r\nx-corianderramp-token-count: 640,60\r\nx-corianderramp-prompt-prefix: 5c1e07a2:40,{:x}:600\r\ncontent-length: 2\r\n\r\n{{}}",
-        id.bytes().fold(7u64, |h, b| h.wrapping_mul(31).wrapping_add(b.into()))
+        id.bytes()
+            .fold(7u64, |h, b| h.wrapping_mul(31).wrapping_add(b.into()))
     );
     let (status, headers, body) = exchange(gateway, &request)?;
     let is_chunked = headers.contains_key("transfer-encoding");
@@ -645,7 +795,10 @@
     }
 
     fn at(&self, vm: u8, port: u16) -> SocketAddr {
-        SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::new(127, self.0, self.1, vm), port))
+        SocketAddr::V4(SocketAddrV4::new(
+            Ipv4Addr::new(127, self.0, self.1, vm),
+            port,
+        ))
     }
 }
 
@@ -678,8 +831,13 @@
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
-    let [_, case, daemon, folder] = args.as_slice() else { give_up("usage: world CASE DAEMON FOLDER") };
-    let is_troubled = std::env::var("TROUBLE").is_ok_and(|t| t == "0").then_some(()).is_none();
+    let [_, case, daemon, folder] = args.as_slice() else {
+        give_up("usage: world CASE DAEMON FOLDER")
+    };
+    let is_troubled = std::env::var("TROUBLE")
+        .is_ok_and(|t| t == "0")
+        .then_some(())
+        .is_none();
     let temp = temp_folder();
     let code = match case.as_str() {
         "silent-release" => silent_release(daemon, Path::new(folder), &temp, is_troubled),
@@ -708,16 +866,28 @@
 impl World {
     /// Starts the processes and waits until each gateway serves; `None` if one does not.
     fn start(daemon: &str, temp: &Path, hosts: u8, gateways: u8, desks: u8) -> Option<Self> {
-        let (net, record, store, proxy) = (Net::draw(), Record::new(), Store::default(), Proxy::default());
+        let (net, record, store, proxy) = (
+            Net::draw(),
+            Record::new(),
+            Store::default(),
+            Proxy::default(),
+        );
         let (store_at, proxy_at, origin_at) = (net.at(1, 8000), net.at(1, 8007), net.at(2, 8000));
         store.start(store_at);
         proxy.start(proxy_at, store_at);
         start_origin(origin_at);
-        store.put("versions", MODEL, format!(r#"{{"model":"{MODEL}","version":1}}"#));
+        store.put(
+            "versions",
+            MODEL,
+            format!(r#"{{"model":"{MODEL}","version":1}}"#),
+        );
         let hosts: Vec<u8> = (10..10 + hosts).collect();
-        let engines = hosts.iter().map(|vm| Engine::start(format!("i-{vm:08x}"), net.at(*vm, 9000), &store, &record));
+        let engines = hosts
+            .iter()
+            .map(|vm| Engine::start(format!("i-{vm:08x}"), net.at(*vm, 9000), &store, &record));
         let engines = engines.collect();
-        let desks = (60..60 + desks).map(|vm| Desk::start(format!("i-{vm:08x}"), net.at(vm, 9000), &store, &record));
+        let desks = (60..60 + desks)
+            .map(|vm| Desk::start(format!("i-{vm:08x}"), net.at(vm, 9000), &store, &record));
         let desks = desks.collect();
         store.put("config", "main", config(origin_at));
         let gateways: Vec<u8> = (40..40 + gateways).collect();
@@ -731,14 +901,26 @@
         }
         let limit = Instant::now() + Duration::from_secs(15);
         let callers: Vec<SocketAddr> = gateways.iter().map(|vm| net.at(*vm, 8005)).collect();
-        while !callers.iter().all(|g| send(*g, &format!("warm-{g}")).is_some_and(|a| a.0 == 200)) {
+        while !callers
+            .iter()
+            .all(|g| send(*g, &format!("warm-{g}")).is_some_and(|a| a.0 == 200))
+        {
             if Instant::now() > limit {
                 eprintln!("can't run: a gateway does not serve");
                 return None;
             }
             thread::sleep(Duration::from_millis(200));
         }
-        Some(Self { record, store, proxy, net, engines, desks, callers, processes })
+        Some(Self {
+            record,
+            store,
+            proxy,
+            net,
+            engines,
+            desks,
+            callers,
+            processes,
+        })
     }
 }
 
@@ -746,9 +928,22 @@
 /// named. New channels work.
 fn silent_release(daemon: &str, folder: &Path, temp: &Path, is_troubled: bool) -> i32 {
     const HOSTS: u8 = 9;
-    let Some(world) = World::start(daemon, temp, HOSTS, 4, 0) else { return 2 };
-    let World { record, store, proxy, engines, callers, processes, .. } = world;
-    let (is_over, count) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let Some(world) = World::start(daemon, temp, HOSTS, 4, 0) else {
+        return 2;
+    };
+    let World {
+        record,
+        store,
+        proxy,
+        engines,
+        callers,
+        processes,
+        ..
+    } = world;
+    let (is_over, count) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicU64::new(0)),
+    );
     let clients: Vec<_> = callers
         .iter()
         .flat_map(|g| (0..CLIENTS_PER_GATEWAY).map(move |n| (*g, n)))
@@ -757,7 +952,10 @@
             thread::spawn(move || {
                 let mut served = 0;
                 while !is_over.load(Ordering::Relaxed) {
-                    let id = format!("{:016x}", 0x1000_0000 + count.fetch_add(1, Ordering::Relaxed));
+                    let id = format!(
+                        "{:016x}",
+                        0x1000_0000 + count.fetch_add(1, Ordering::Relaxed)
+                    );
                     record.add(format!("client {n} sends request {id} to {gateway}"));
                     let answer = send(gateway, &id);
                     served += u32::from(matches!(answer, Some((200, true))));
@@ -781,12 +979,19 @@
         record.add("the channel of the watch of releases goes silent".into());
     }
     thread::sleep(Duration::from_millis(20));
-    store.put("versions", MODEL, format!(r#"{{"model":"{MODEL}","version":2}}"#));
+    store.put(
+        "versions",
+        MODEL,
+        format!(r#"{{"model":"{MODEL}","version":2}}"#),
+    );
     let acked = record.add("the store acknowledges version 2".into());
     thread::sleep(Duration::from_secs(14));
     is_over.store(true, Ordering::Relaxed);
     let served: u32 = clients.into_iter().map(|c| c.join().unwrap_or(0)).sum();
-    let holds = engines.iter().filter(|e| e.state.lock().unwrap().version == 2).count();
+    let holds = engines
+        .iter()
+        .filter(|e| e.state.lock().unwrap().version == 2)
+        .count();
     let mut late = Vec::new();
     for engine in &engines {
         for (id, version, at) in engine.begun.lock().unwrap().iter() {
@@ -798,11 +1003,19 @@
     }
     late.sort();
     let last = late.last().map_or(0, |l| l.0);
-    record.add(format!("{served} requests served, {holds} of {HOSTS} engines hold version 2"));
-    record.add(format!("{} requests began on version 1 later than {VERSION_MS} ms, the last after {last} ms", late.len()));
+    record.add(format!(
+        "{served} requests served, {holds} of {HOSTS} engines hold version 2"
+    ));
+    record.add(format!(
+        "{} requests began on version 1 later than {VERSION_MS} ms, the last after {last} ms",
+        late.len()
+    ));
     drop(processes);
     record.write(&folder.join("record.txt"));
-    println!("VERSION: {} late begins, the last {last} ms after the acknowledgement", late.len());
+    println!(
+        "VERSION: {} late begins, the last {last} ms after the acknowledgement",
+        late.len()
+    );
     if !late.is_empty() {
         return 1;
     }
@@ -816,21 +1029,40 @@
 /// An entry of another writer appears among the servers: some of the fields that the platform's page
 /// lists are missing. What listens at its address is no server of the platform.
 fn partial_entry(daemon: &str, folder: &Path, temp: &Path, is_troubled: bool) -> i32 {
-    let Some(world) = World::start(daemon, temp, 3, 2, 3) else { return 2 };
-    let World { record, store, net, desks, callers, processes, .. } = world;
+    let Some(world) = World::start(daemon, temp, 3, 2, 3) else {
+        return 2;
+    };
+    let World {
+        record,
+        store,
+        net,
+        desks,
+        callers,
+        processes,
+        ..
+    } = world;
     let foreign = net.at(90, 9000);
     let taken: Arc<Mutex<Vec<String>>> = Arc::default();
     let (listener, log) = (taken.clone(), record.clone());
     serve(foreign, move |request, stream| {
-        let id = request.headers.get("x-corianderramp-request-id").cloned().unwrap_or_default();
-        log.add(format!("the program at the foreign address gets {} {} with request {id}", request.method, request.path));
+        let id = request
+            .headers
+            .get("x-corianderramp-request-id")
+            .cloned()
+            .unwrap_or_default();
+        log.add(format!(
+            "the program at the foreign address gets {} {} with request {id}",
+            request.method, request.path
+        ));
         listener.lock().unwrap().push(id);
         respond(stream, 200, "content-type: text/plain\r\n", b"it works")
     });
     let mut answers = Vec::new();
     for round in 0..2 {
         if round == 1 && is_troubled {
-            let spec = format!(r#"{{"service":"desk","address":"{foreign}","zone":"z-a","slots":6,"state":"ready"}}"#);
+            let spec = format!(
+                r#"{{"service":"desk","address":"{foreign}","zone":"z-a","slots":6,"state":"ready"}}"#
+            );
             store.put("servers", "desk-of-another-writer", spec);
             record.add("an entry without version, cold_remaining_ms and sequence appears".into());
         }
@@ -840,19 +1072,32 @@
             record.add(format!("client sends booking {id}"));
             let answer = book(callers[n % callers.len()], &id);
             let status = answer.as_ref().map(|a| a.0);
-            let stamp = answer.as_ref().and_then(|a| a.1.get("x-corianderramp-server-stamp").cloned());
+            let stamp = answer
+                .as_ref()
+                .and_then(|a| a.1.get("x-corianderramp-server-stamp").cloned());
             let body = answer.map(|a| String::from_utf8_lossy(&a.2).into_owned());
-            record.add(format!("booking {id} is answered {status:?}, stamp {stamp:?}, body {body:?}"));
+            record.add(format!(
+                "booking {id} is answered {status:?}, stamp {stamp:?}, body {body:?}"
+            ));
             answers.push((id, status, stamp));
             thread::sleep(Duration::from_millis(20));
         }
     }
     drop(processes);
-    let ran: Vec<String> = desks.iter().flat_map(|d| d.ran.lock().unwrap().clone()).collect();
+    let ran: Vec<String> = desks
+        .iter()
+        .flat_map(|d| d.ran.lock().unwrap().clone())
+        .collect();
     let is_success = |status: &Option<u16>| status.is_some_and(|s| (200..300).contains(&s));
-    let served = answers.iter().filter(|(_, status, stamp)| is_success(status) && stamp.is_some()).count();
-    let mixed: Vec<&String> =
-        answers.iter().filter(|(_, status, stamp)| is_success(status) && stamp.is_none()).map(|a| &a.0).collect();
+    let served = answers
+        .iter()
+        .filter(|(_, status, stamp)| is_success(status) && stamp.is_some())
+        .count();
+    let mixed: Vec<&String> = answers
+        .iter()
+        .filter(|(_, status, stamp)| is_success(status) && stamp.is_none())
+        .map(|a| &a.0)
+        .collect();
     let lost = mixed.iter().filter(|id| !ran.contains(id)).count();
     let sent = taken.lock().unwrap().len();
     let summary = format!(
