--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -6,4 +6,4 @@
 for program in target/release/corianderrampd target/review-3/world; do
     [ -x "$program" ] || { echo "missing: $program" >&2; exit 2; }
 done
-exec target/review-3/world silent-release target/release/corianderrampd "$here"
+exec target/review-3/world last-tenant target/release/corianderrampd "$here"
--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -739,9 +739,14 @@
 }
 
 /// Sends one booking on a new channel; returns the status, the headers and the body.
-fn book(gateway: SocketAddr, id: &str) -> Option<(u16, HashMap<String, String>, Vec<u8>)> {
+fn book(
+    gateway: SocketAddr,
+    path: &str,
+    id: &str,
+    key: &str,
+) -> Option<(u16, HashMap<String, String>, Vec<u8>)> {
     let request = format!(
-        "POST /book/pitch HTTP/1.1\r\nhost: a.example\r\nconnection: close\r\napi-key: {KEY}\r\nx-corianderramp-request-id: {id}\r\nx-corianderramp-deadline-ms: 1500\r\ncontent-length: 16\r\n\r\n{id:016}"
+        "POST {path} HTTP/1.1\r\nhost: a.example\r\nconnection: close\r\napi-key: {key}\r\nx-corianderramp-request-id: {id}\r\nx-corianderramp-deadline-ms: 1500\r\ncontent-length: 16\r\n\r\n{id:016}"
     );
     exchange(gateway, &request)
 }
@@ -815,9 +820,14 @@
     )
 }
 
-fn config(origin: SocketAddr) -> String {
+/// Tenants of the first configuration.
+fn tenants() -> String {
+    format!(r#"[{{"name":"rounds","api_keys":["{KEY}"]}}]"#)
+}
+
+fn config(version: u64, origin: SocketAddr, tenants: &str) -> String {
     format!(
-        r#"{{"version":1,"routes":[{{"name":"plan","host":"a.example","path_prefix":"/plan/","kind":"streaming","timeout_ms":6000,"target_latency_ms":400,"gap_target_ms":300,"priority":1,"service":"llm","max_attempts":2,"public":false,"stream_resume":true,"session_affinity":true}},{{"name":"book","host":"a.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":1500,"target_latency_ms":100,"priority":2,"service":"desk","max_attempts":2,"public":false}}],"services":[{{"name":"desk","max_connections":214}},{{"name":"llm","max_connections":780,"engine":{{"slots":16,"step_ms":6.73,"per_seq_ms":0.05,"read_per_s":30600.0,"usual":{{"prompt":640,"answer":60}},"layers":16,"chunks":{CHUNKS},"models":[{{"name":"{MODEL}","warm_s":0.3}}]}}}},{{"name":"depot","origin":"{origin}","link_mbps":9.9,"max_connections":103}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"rounds","api_keys":["{KEY}"]}}]}}"#
+        r#"{{"version":{version},"routes":[{{"name":"plan","host":"a.example","path_prefix":"/plan/","kind":"streaming","timeout_ms":6000,"target_latency_ms":400,"gap_target_ms":300,"priority":1,"service":"llm","max_attempts":2,"public":false,"stream_resume":true,"session_affinity":true}},{{"name":"book","host":"a.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":1500,"target_latency_ms":100,"priority":2,"service":"desk","max_attempts":2,"public":false}}],"services":[{{"name":"desk","max_connections":214}},{{"name":"llm","max_connections":780,"engine":{{"slots":16,"step_ms":6.73,"per_seq_ms":0.05,"read_per_s":30600.0,"usual":{{"prompt":640,"answer":60}},"layers":16,"chunks":{CHUNKS},"models":[{{"name":"{MODEL}","warm_s":0.3}}]}}}},{{"name":"depot","origin":"{origin}","link_mbps":9.9,"max_connections":103}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":{tenants}}}"#
     )
 }
 
@@ -842,6 +852,8 @@
     let code = match case.as_str() {
         "silent-release" => silent_release(daemon, Path::new(folder), &temp, is_troubled),
         "partial-entry" => partial_entry(daemon, Path::new(folder), &temp, is_troubled),
+        "last-tenant" => last_tenant(daemon, Path::new(folder), &temp, is_troubled),
+        "low-rank" => low_rank(daemon, Path::new(folder), &temp, is_troubled),
         _ => give_up("unknown case"),
     };
     if std::env::var_os("KEEP").is_none() {
@@ -889,7 +901,7 @@
         let desks = (60..60 + desks)
             .map(|vm| Desk::start(format!("i-{vm:08x}"), net.at(vm, 9000), &store, &record));
         let desks = desks.collect();
-        store.put("config", "main", config(origin_at));
+        store.put("config", "main", config(1, origin_at, &tenants()));
         let gateways: Vec<u8> = (40..40 + gateways).collect();
         let mut processes = Vec::new();
         for (role, vms) in [("host", &hosts), ("gateway", &gateways)] {
@@ -1070,7 +1082,7 @@
         for n in 0..100 {
             let id = format!("{:016x}", 0x2000_0000 + round * 1000 + n);
             record.add(format!("client sends booking {id}"));
-            let answer = book(callers[n % callers.len()], &id);
+            let answer = book(callers[n % callers.len()], "/book/pitch", &id, KEY);
             let status = answer.as_ref().map(|a| a.0);
             let stamp = answer
                 .as_ref()
@@ -1116,3 +1128,155 @@
     }
     0
 }
+
+/// A new version of the configuration takes the last tenant away. Clients go on with its key, and
+/// others come with a key that no configuration ever held.
+fn last_tenant(daemon: &str, folder: &Path, temp: &Path, is_troubled: bool) -> i32 {
+    const UNKNOWN: &str = "key-that-no-config-held";
+    let Some(world) = World::start(daemon, temp, 3, 2, 3) else {
+        return 2;
+    };
+    let World {
+        record,
+        store,
+        net,
+        desks,
+        callers,
+        processes,
+        ..
+    } = world;
+    let mut answers = Vec::new();
+    for round in 0..2 {
+        if round == 1 {
+            let rest = if is_troubled {
+                "[]".to_owned()
+            } else {
+                tenants()
+            };
+            store.put("config", "main", config(2, net.at(2, 8000), &rest));
+            record.add(format!(
+                "the store acknowledges version 2 of the config, tenants {rest}"
+            ));
+            // The bound is config_apply_ms, 2 s.
+            thread::sleep(Duration::from_secs(4));
+        }
+        for n in 0..100 {
+            let key = if n % 2 == 0 { KEY } else { UNKNOWN };
+            let id = format!("{:016x}", 0x3000_0000 + round * 1000 + n);
+            record.add(format!("client sends booking {id} with {key}"));
+            let status = book(callers[n / 2 % callers.len()], "/book/pitch", &id, key).map(|a| a.0);
+            record.add(format!("booking {id} is answered {status:?}"));
+            answers.push((round, key, id, status));
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+    drop(processes);
+    let ran: Vec<String> = desks
+        .iter()
+        .flat_map(|d| d.ran.lock().unwrap().clone())
+        .collect();
+    let count = |round: usize, key: &str| {
+        let found = answers
+            .iter()
+            .filter(|a| a.0 == round && a.1 == key && ran.contains(&a.2));
+        found.count()
+    };
+    let (held, before) = (count(0, KEY), count(0, UNKNOWN));
+    let (dropped, unknown) = (count(1, KEY), count(1, UNKNOWN));
+    let summary = format!(
+        "ran before version 2: {held} of 50 with the tenant's key, {before} of 50 with an unknown one; 4 s after it: {dropped} and {unknown}"
+    );
+    record.add(summary.clone());
+    record.write(&folder.join("record.txt"));
+    println!("ROUTE: {summary}");
+    if before > 0 || unknown > 0 || (is_troubled && dropped > 0) {
+        return 1;
+    }
+    if held < 45 || (!is_troubled && dropped < 45) {
+        return 2;
+    }
+    0
+}
+
+/// Version 2 of the configuration adds a route of low rank and takes one of two tenants away; version
+/// 3 only changes a time-out.
+fn low_rank(daemon: &str, folder: &Path, temp: &Path, is_troubled: bool) -> i32 {
+    const DROPPED: &str = "key-that-is-taken-away";
+    let Some(world) = World::start(daemon, temp, 3, 2, 3) else {
+        return 2;
+    };
+    let World {
+        record,
+        store,
+        net,
+        desks,
+        callers,
+        processes,
+        ..
+    } = world;
+    let origin = net.at(2, 8000);
+    let two = format!(
+        r#"[{{"name":"rounds","api_keys":["{KEY}"]}},{{"name":"leaver","api_keys":["{DROPPED}"]}}]"#
+    );
+    store.put("config", "main", config(2, origin, &two));
+    record.add("the store acknowledges version 2 of the config, with two tenants".into());
+    let rank = if is_troubled { 300 } else { 3 };
+    let route = format!(
+        r#""routes":[{{"name":"late","host":"a.example","path_prefix":"/late/","kind":"unsafe","timeout_ms":1500,"target_latency_ms":100,"priority":{rank},"service":"desk","max_attempts":2,"public":false}},"#
+    );
+    let mut answers = Vec::new();
+    for round in 0..3 {
+        if round > 0 {
+            let version = round + 2;
+            let next = config(version, origin, &tenants()).replacen(r#""routes":["#, &route, 1);
+            store.put("config", "main", next);
+            record.add(format!(
+                "the store acknowledges version {version} of the config, with one tenant and a route of priority {rank}"
+            ));
+        }
+        // The bound is config_apply_ms, 2 s.
+        thread::sleep(Duration::from_secs(4));
+        for n in 0..60 {
+            let (path, key) = [
+                ("/book/pitch", KEY),
+                ("/book/pitch", DROPPED),
+                ("/late/pitch", KEY),
+            ][n % 3];
+            let id = format!("{:016x}", 0x5000_0000 + round as usize * 1000 + n);
+            record.add(format!("client sends booking {id} to {path} with {key}"));
+            let status = book(callers[n / 3 % callers.len()], path, &id, key).map(|a| a.0);
+            record.add(format!("booking {id} is answered {status:?}"));
+            answers.push((round, n % 3, id, status));
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+    drop(processes);
+    let ran: Vec<String> = desks
+        .iter()
+        .flat_map(|d| d.ran.lock().unwrap().clone())
+        .collect();
+    let count = |is_late: bool, kind: usize, is_counted: &dyn Fn(&str, Option<u16>) -> bool| {
+        let found = answers
+            .iter()
+            .filter(|a| (a.0 > 0) == is_late && a.1 == kind);
+        found.filter(|a| is_counted(&a.2, a.3)).count()
+    };
+    let has_run = |id: &str, _: Option<u16>| ran.iter().any(|r| r == id);
+    let is_unknown = |_: &str, status: Option<u16>| status == Some(404);
+    let before = count(false, 1, &has_run);
+    let (kept, dropped) = (count(true, 0, &has_run), count(true, 1, &has_run));
+    let (missing, served) = (count(true, 2, &is_unknown), count(true, 2, &has_run));
+    let summary = format!(
+        "4 s after versions 3 and 4, of 40 each: {dropped} ran with the key that was taken away ({before} of 20 before), {missing} on the new route got 404 and {served} ran, {kept} on the old route ran"
+    );
+    record.add(summary.clone());
+    record.write(&folder.join("record.txt"));
+    println!("CONFIG: {summary}");
+    if dropped > 0 || missing > 0 {
+        return 1;
+    }
+    if before < 18 || kept < 36 || served < 36 {
+        return 2;
+    }
+    0
+}
