Take figures of any size and notation

Need: callers with a key that had been taken away were served, and a new route was answered 404, for as long as one route had a rank above 255.

Cause: the adapter decoded ranks as u8 and other figures as u32, u64 or usize. One figure that did not fit failed the whole object. The log of the nodes that read the store had "invalid object ignored ... expected u8"; no node had "config received", which rules out relays and the order of versions.

Change: platform::figure takes any number from 0 on for all counts and times of the configuration, targets, releases, reports, manifests, store revisions and headers. platform::readable reads numbers beyond a double as the nearest one. fleet::rank keeps the order of ranks of any size, in JSON between nodes and in slot requests; fleet::classes maps them to the five classes of an engine by order, where ranks above 4 were equal. Times beyond a duration counted as 0 and weights of a split beyond 0.001 to 10^6 as 0 or equal; predicted times could overflow.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,11 +9,18 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::rank::Rank;
+
 pub mod catalog;
+pub mod classes;
 pub mod diff;
+pub mod rank;
 pub mod revision;
 pub mod routes;
 
+/// Longest estimate of the time that a request occupies a slot.
+const LONGEST_SLOT_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// One version of the deployment's configuration.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Config {
@@ -150,7 +157,7 @@
     #[serde(default, rename = "pause")]
     pub max_pause: Duration,
     /// Priority; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: Rank,
     /// Maximum number of targets to which one attempt of a caller is sent.
     #[serde(rename = "attempts")]
     pub max_attempts: u32,
@@ -188,7 +195,7 @@
     /// Name that is sent to targets.
     pub name: String,
     /// Priority that overrides the route's.
-    pub priority: Option<u8>,
+    pub priority: Option<Rank>,
     /// Regions that may serve the account's requests, like [`Route::homes`].
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub homes: Option<Vec<String>>,
@@ -286,7 +293,8 @@
         let slots = f64::from(self.slots);
         let step = self.step.as_secs_f64() + slots * self.per_sequence.as_secs_f64();
         let prefill = slots * self.mean_prompt / self.prefill_rate.max(1.0);
-        Duration::from_secs_f64(self.mean_output * step + prefill)
+        let time = Duration::try_from_secs_f64(self.mean_output * step + prefill);
+        time.unwrap_or(LONGEST_SLOT_TIME).min(LONGEST_SLOT_TIME)
     }
 }
 
--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::catalog::evacuations::Evacuation;
+use crate::fleet::classes::Classes;
 use crate::fleet::{Config, Release, Target, revision};
 
 mod copy;
@@ -45,6 +46,8 @@
     pub config: Option<Arc<Config>>,
     /// Store revision of the configuration.
     pub config_revision: u64,
+    /// Classes of the ranks in the configuration.
+    pub classes: Arc<Classes>,
     /// Targets, sorted by id.
     pub targets: Vec<Entry<Target>>,
     /// Store revision up to which `targets` is complete; 0 while they are only hints.
@@ -170,6 +173,7 @@
             return false;
         }
         self.config_revision = revision;
+        self.classes = Arc::new(Classes::of(&config));
         self.config = Some(Arc::new(config));
         true
     }
--- a/src/gateway/agents.rs
+++ b/src/gateway/agents.rs
@@ -12,6 +12,7 @@
 use tokio::time;
 
 use crate::clock::Clock;
+use crate::fleet::rank::Rank;
 use crate::gateway::Gateway;
 use crate::gateway::waiting;
 use crate::node::message::{
@@ -113,7 +114,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct SlotCriteria {
     /// Priority; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: Rank,
     /// Latency objective for the first event of the answer.
     pub objective: Duration,
     /// Prompt length, tokens.
@@ -215,7 +216,8 @@
         let request = SlotRequest {
             gateway_id: self.gateway_id,
             request_id,
-            priority: criteria.priority.into(),
+            priority: u32::try_from(criteria.priority.parts().0).unwrap_or(u32::MAX),
+            rank: Some(message::Rank::from(criteria.priority)),
             objective_ms: millis(criteria.objective),
             prompt_tokens: criteria.prompt_tokens,
             output_tokens: criteria.output_tokens,
--- a/src/gateway/agents_test.rs
+++ b/src/gateway/agents_test.rs
@@ -5,6 +5,7 @@
 use tokio::time;
 
 use super::{AgentClient, SlotCriteria};
+use crate::fleet::rank::Rank;
 use crate::node::message::{self, Body, SlotReply};
 
 /// Time limit for expected messages; long enough for a busy machine.
@@ -14,7 +15,7 @@
     output_tokens: 0,
     left: Duration::ZERO,
     is_returning: false,
-    priority: 1,
+    priority: Rank::new(1),
     objective: Duration::from_millis(400),
     prompt_tokens: 1,
     immediate_only: true,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -43,8 +43,6 @@
 /// answer can be believed; hyper itself reads only numbers from 100 to 999, and skips interim
 /// statuses except 101.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
-/// Urgency that targets assume for a request without this header.
-const DEFAULT_URGENCY: u8 = 5;
 /// Largest urgency, of the requests that targets admit last.
 const MAX_URGENCY: u8 = 9;
 
@@ -477,8 +475,7 @@
 }
 
 /// Urgency in the target's queue, 0 to 9: the one that the target's host gave with the slot, or
-/// else the priority. Priorities are small numbers; larger ones get the default urgency.
+/// else the class of its priority.
 fn urgency<C: Clock>(call: &Call, slot: &SlotGuard<C>) -> u8 {
-    let own = call.priority.min(DEFAULT_URGENCY);
-    slot.urgency.map_or(own, |u| u.min(MAX_URGENCY))
+    slot.urgency.map_or(call.class, |u| u.min(MAX_URGENCY))
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, Method, Uri};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::fleet::rank::Rank;
 use crate::fleet::{Config, Route, RouteKind};
 use crate::place::pool::TargetKey;
 use crate::platform::request::CallerHeaders;
@@ -25,7 +26,9 @@
     /// Account of the caller, if the route requires one.
     pub account: Option<String>,
     /// Priority; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: Rank,
+    /// Class of the priority.
+    pub class: u8,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -288,12 +288,14 @@
         let end = record.start + timeout;
         let deadline = record.start + timeout.saturating_sub(RESPONSE_MARGIN);
         let account_priority = account.and_then(|a| a.priority);
+        let priority = account_priority.unwrap_or(route.priority);
         let service = routes::select_service(route, &caller_headers.request_id).ok_or(NO_ROUTE)?;
         let limit = config.limits.body_bytes;
         let is_returning =
             self.placement.returning && self.record_time_limit(route, &caller_headers);
         let mut call = Call {
-            priority: account_priority.unwrap_or(route.priority),
+            priority,
+            class: catalog.classes.class(priority),
             service: service.to_owned(),
             account: account.map(|a| a.name.clone()),
             route: route_index(&config.routes, route),
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -102,8 +102,9 @@
         })
     };
     let socket = Socket::new(stream, progress.clone());
+    let head_bytes = limits.borrow().head_bytes;
     let mut connection = http1::Builder::new()
-        .max_buf_size(limits.borrow().head_bytes.max(MIN_BUFFER_BYTES) * 2)
+        .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES).saturating_mul(2))
         .serve_connection(TokioIo::new(socket), service);
     let mut timer = std::pin::pin!(time::sleep(Duration::ZERO));
     let mut is_closing = false;
--- a/src/host/places.rs
+++ b/src/host/places.rs
@@ -18,8 +18,6 @@
 const MAX_DATAGRAM: usize = 2_048;
 /// Time after which the subscription of a gateway that doesn't renew it expires.
 const SUBSCRIPTION_TTL: Duration = Duration::from_secs(5);
-/// Less urgent priorities count as this one in metrics.
-const LAST_PRIORITY: u8 = 4;
 /// Delay after a failed receive.
 const RECEIVE_RETRY: Duration = Duration::from_millis(25);
 
@@ -115,7 +113,7 @@
         }
         let slot_request = SlotRequest {
             id,
-            priority: u8::try_from(request.priority).unwrap_or(u8::MAX),
+            priority: self.catalog.snapshot().classes.class(request.rank()),
             objective: Duration::from_millis(request.objective_ms.into()),
             prompt_tokens: request.prompt_tokens,
             immediate_only: request.immediate_only,
@@ -158,7 +156,7 @@
             Decision::Closed => "closed",
             Decision::TooLong => "too long",
         };
-        let priority = request.priority.min(LAST_PRIORITY).to_string();
+        let priority = request.priority.to_string();
         counter!("corianderramp_host_slots_total", "priority" => priority, "verdict" => verdict)
             .increment(1);
         (decision, urgency)
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -4,6 +4,7 @@
 
 use prost::Message;
 
+use crate::fleet::rank;
 use crate::place::limit::Notice;
 use crate::place::slots::GrantId;
 
@@ -109,7 +110,7 @@
     /// Number of the slot request at its gateway.
     #[prost(uint64, tag = "2")]
     pub request_id: u64,
-    /// Priority; 0 is the most urgent.
+    /// Whole part of the rank; for hosts of earlier versions.
     #[prost(uint32, tag = "3")]
     pub priority: u32,
     /// Latency objective for the first event of the answer, milliseconds.
@@ -136,6 +137,42 @@
     /// Whether the caller comes back after a refusal.
     #[prost(bool, tag = "11")]
     pub is_returning: bool,
+    /// Rank; `None` from gateways of earlier versions.
+    #[prost(message, optional, tag = "12")]
+    pub rank: Option<Rank>,
+}
+
+impl SlotRequest {
+    /// Rank of the request.
+    #[must_use]
+    pub fn rank(&self) -> rank::Rank {
+        let stated = self.rank.map(rank::Rank::from);
+        stated.unwrap_or(rank::Rank::new(self.priority.into()))
+    }
+}
+
+/// Rank of a request.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Rank {
+    /// Whole part.
+    #[prost(uint64, tag = "1")]
+    pub whole: u64,
+    /// What orders ranks with the same whole part.
+    #[prost(uint64, tag = "2")]
+    pub rest: u64,
+}
+
+impl From<rank::Rank> for Rank {
+    fn from(rank: rank::Rank) -> Self {
+        let (whole, rest) = rank.parts();
+        Self { whole, rest }
+    }
+}
+
+impl From<Rank> for rank::Rank {
+    fn from(rank: Rank) -> Self {
+        Self::from_parts(rank.whole, rank.rest)
+    }
 }
 
 /// What an answer of a target said of its rate limit.
--- a/src/place/forecast.rs
+++ b/src/place/forecast.rs
@@ -20,6 +20,9 @@
 /// objective are still served.
 const MIN_SLACK: Duration = Duration::from_millis(30);
 
+/// Longest time that is predicted, so that sums and products of them don't overflow.
+const LONGEST: Duration = Duration::from_secs(30 * 24 * 60 * 60);
+
 /// Predicted times of requests at one engine.
 ///
 /// ```
@@ -168,6 +171,7 @@
     }
 
     fn scaled(&self, seconds: f64) -> Duration {
-        Duration::try_from_secs_f64(seconds * self.pace).unwrap_or(Duration::MAX)
+        let time = Duration::try_from_secs_f64(seconds * self.pace);
+        time.unwrap_or(LONGEST).min(LONGEST)
     }
 }
--- a/src/place/order.rs
+++ b/src/place/order.rs
@@ -12,12 +12,12 @@
 
 use std::time::{Duration, Instant};
 
-use crate::fleet::Engine;
+use crate::fleet::{Engine, classes};
 use crate::place::forecast::Forecast;
 use crate::place::slots::SlotRequest;
 
-/// Priorities that are told apart; less urgent ones count as the last.
-const CLASSES: usize = 5;
+/// Number of priority classes.
+const CLASSES: usize = classes::COUNT as usize;
 /// Added to the class for the urgency of returning requests, which follow all new ones.
 const RETURNING: u8 = 5;
 /// Time constant of the moving averages, seconds. Bursts last 3 to 7 s.
--- a/src/place/returning.rs
+++ b/src/place/returning.rs
@@ -15,6 +15,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::fleet::rank::Rank;
+
 /// Part of the objective by which the first attempt must precede this one. Callers come back
 /// 250 ms after a refusal at the earliest, which is a third of the loosest objective in use.
 const MIN_ELAPSED_OBJECTIVES: f64 = 0.3;
@@ -278,7 +280,7 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Ticket {
     /// Priority; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: Rank,
     /// When the wait ends.
     pub end: Instant,
     /// Number that no other waiting caller has.
@@ -289,7 +291,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Waiter {
     /// Priority; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: Rank,
     /// When the wait ends.
     pub end: Instant,
     /// Hash of the service's name.
--- a/src/place/slots.rs
+++ b/src/place/slots.rs
@@ -64,7 +64,7 @@
 pub struct SlotRequest {
     /// Identifies the request and the slot that it gets.
     pub id: GrantId,
-    /// Priority; 0 is the most urgent.
+    /// Class of its priority; 0 is the most urgent.
     pub priority: u8,
     /// Latency objective for the first event of the answer.
     pub objective: Duration,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -6,5 +6,7 @@
 
 pub mod decode;
 pub mod engine;
+pub mod figure;
+pub mod readable;
 pub mod request;
 pub mod store;
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -1,20 +1,23 @@
 //! Decoders for the objects in the platform's store.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde_json::Value;
 
+use crate::fleet::rank::Rank;
 use crate::fleet::{
     Account, ColdStart, Config, Engine, Key, Limits, Origin, Phase, Release, Route, RouteKind,
     Service, Target, WeightedService,
 };
+use crate::platform::figure::{self, Count};
 
 /// Configuration object as written by the operator.
 #[derive(Deserialize)]
 struct WireConfig {
-    version: u64,
+    version: Count,
     routes: Vec<WireRoute>,
     services: Vec<WireService>,
     limits: Option<WireLimits>,
@@ -33,10 +36,10 @@
     timeout_ms: f64,
     target_latency_ms: Option<f64>,
     gap_target_ms: Option<f64>,
-    priority: Option<u8>,
+    priority: Option<Rank>,
     service: Option<String>,
     traffic_split: Option<Vec<WireShare>>,
-    max_attempts: Option<u32>,
+    max_attempts: Option<Count>,
     #[serde(default)]
     public: bool,
     #[serde(default)]
@@ -68,7 +71,7 @@
 
 #[derive(Deserialize)]
 struct WireEngine {
-    slots: u32,
+    slots: Count,
     step_ms: f64,
     per_seq_ms: f64,
     #[serde(default)]
@@ -76,9 +79,9 @@
     #[serde(default)]
     pairs_per_m: f64,
     #[serde(default)]
-    chunk: u32,
+    chunk: Count,
     #[serde(default)]
-    stride: u32,
+    stride: Count,
     read_per_s: f64,
     usual: Option<WireUsual>,
     #[serde(default)]
@@ -98,8 +101,8 @@
 
 #[derive(Deserialize)]
 struct WireLimits {
-    max_header_bytes: usize,
-    max_body_bytes: usize,
+    max_header_bytes: Count,
+    max_body_bytes: Count,
     header_timeout_ms: f64,
     idle_timeout_ms: f64,
 }
@@ -109,7 +112,7 @@
     name: String,
     #[serde(default)]
     api_keys: Vec<String>,
-    priority: Option<u8>,
+    priority: Option<Rank>,
     allowed_regions: Option<Value>,
 }
 
@@ -119,10 +122,10 @@
     service: String,
     address: SocketAddr,
     zone: String,
-    slots: u32,
+    slots: Count,
     state: String,
     /// Start time, Unix milliseconds; changes when the target restarts with the same id.
-    born: Option<u64>,
+    born: Option<Count>,
     /// Missing unless the target is a model engine.
     models: Option<Vec<WireHeldModel>>,
     layers: Option<WireLayers>,
@@ -134,28 +137,33 @@
 /// Model whose weights a target holds.
 #[derive(Deserialize)]
 pub(super) struct WireHeldModel {
-    version: u64,
+    version: Count,
 }
 
 /// Range of layers whose weights a target holds; `to` is exclusive.
 #[derive(Deserialize)]
 pub(super) struct WireLayers {
-    from: u32,
-    to: u32,
-    version: u64,
+    from: Count,
+    to: Count,
+    version: Count,
 }
 
 /// Error for an object that does not match the schema of its kind.
 pub type ParseError = serde_json::Error;
 
+/// Unit of weights as they are kept, because they may be fractions.
+const WEIGHT_UNIT: f64 = 1_000.0;
+/// Largest weight that is kept; larger ones are reduced in proportion.
+const MAX_WEIGHT: f64 = 1e6;
+/// Largest weights of a split with which the others keep their digits.
+const USUAL_WEIGHTS: RangeInclusive<f64> = 1.0..=MAX_WEIGHT;
+
+/// Smallest and largest bandwidth of an origin that is taken, megabits per second.
+const MIN_MBPS: f64 = 1e-3;
+const MAX_MBPS: f64 = 1e9;
 /// Longest cold time that is taken. A longer one is a mistake.
 const MAX_COLD: Duration = Duration::from_secs(60 * 60);
 
-fn millis(ms: f64) -> Duration {
-    // Negative, infinite and NaN values can't be converted and count as 0.
-    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_default()
-}
-
 /// Returns a positive number; 0 for any other value.
 fn positive(value: &Value) -> f64 {
     value.as_f64().filter(|n| *n > 0.0).unwrap_or(0.0)
@@ -163,7 +171,7 @@
 
 /// Returns what the targets of a service take while cold; `None` unless both values are positive.
 fn cold_start(wire: &WireService) -> Option<ColdStart> {
-    let time = millis(positive(&wire.cold_start_s) * 1000.0).min(MAX_COLD);
+    let time = figure::millis(positive(&wire.cold_start_s) * 1000.0).min(MAX_COLD);
     let rate = positive(&wire.cold_per_s);
     (!time.is_zero() && rate > 0.0).then_some(ColdStart { time, rate })
 }
@@ -192,7 +200,7 @@
     }
     keys.sort_by(|a, b| a.text.cmp(&b.text));
     Ok(Config {
-        version: wire.version,
+        version: wire.version.to_u64(),
         routes,
         services,
         keys,
@@ -203,10 +211,10 @@
 
 fn limits(wire: &WireLimits) -> Limits {
     Limits {
-        head_bytes: wire.max_header_bytes,
-        body_bytes: wire.max_body_bytes,
-        header_timeout: millis(wire.header_timeout_ms),
-        idle_timeout: millis(wire.idle_timeout_ms),
+        head_bytes: wire.max_header_bytes.to_usize(),
+        body_bytes: wire.max_body_bytes.to_usize(),
+        header_timeout: figure::millis(wire.header_timeout_ms),
+        idle_timeout: figure::millis(wire.idle_timeout_ms),
     }
 }
 
@@ -219,29 +227,21 @@
         // Retrying a request of an unknown kind could run it twice.
         _ => RouteKind::AtMostOnce,
     };
-    let timeout = millis(wire.timeout_ms);
+    let timeout = figure::millis(wire.timeout_ms);
     let single = wire
         .service
         .map(|service| WeightedService { service, weight: 1 });
-    let split = wire.traffic_split.map(|shares| {
-        shares
-            .into_iter()
-            .map(|s| WeightedService {
-                service: s.service,
-                weight: weight(s.weight),
-            })
-            .collect()
-    });
+    let split = wire.traffic_split.map(split);
     Route {
         name: wire.name,
         host: wire.host,
         prefix: wire.path_prefix,
         kind,
         timeout,
-        objective: wire.target_latency_ms.map_or(timeout, millis),
-        max_pause: wire.gap_target_ms.map_or(Duration::ZERO, millis),
-        priority: wire.priority.unwrap_or(u8::MAX),
-        max_attempts: wire.max_attempts.unwrap_or(1),
+        objective: wire.target_latency_ms.map_or(timeout, figure::millis),
+        max_pause: wire.gap_target_ms.map_or(Duration::ZERO, figure::millis),
+        priority: wire.priority.unwrap_or(Rank::LAST),
+        max_attempts: wire.max_attempts.map_or(1, Count::to_u32),
         public: wire.public,
         split: split.unwrap_or_else(|| single.into_iter().collect()),
         homes: homes(wire.allowed_regions),
@@ -261,30 +261,45 @@
     Some(regions)
 }
 
-/// Converts a weight to thousandths, because weights may be fractions.
+/// Converts weights, which may be fractions of any size, to whole numbers in the same proportion.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn weight(wire: f64) -> u32 {
-    (wire.clamp(0.0, 1e6) * 1000.0) as u32
+fn split(shares: Vec<WireShare>) -> Vec<WeightedService> {
+    let largest = shares.iter().map(|s| s.weight).fold(0.0, f64::max);
+    let unit = if USUAL_WEIGHTS.contains(&largest) {
+        WEIGHT_UNIT
+    } else {
+        MAX_WEIGHT * WEIGHT_UNIT / largest.max(f64::MIN_POSITIVE)
+    };
+    let shares = shares.into_iter().map(|s| WeightedService {
+        service: s.service,
+        weight: (s.weight * unit).clamp(0.0, MAX_WEIGHT * WEIGHT_UNIT) as u32,
+    });
+    shares.collect()
+}
+
+/// Limits a bandwidth to values with which transfer times can be calculated.
+fn bandwidth(mbps: f64) -> f64 {
+    mbps.clamp(MIN_MBPS, MAX_MBPS)
 }
 
 fn service(wire: WireService) -> Service {
     let cold = cold_start(&wire);
     let engine = wire.engine.map(|e| Engine {
-        slots: e.slots,
-        step: millis(e.step_ms),
-        per_sequence: millis(e.per_seq_ms),
+        slots: e.slots.to_u32(),
+        step: figure::millis(e.step_ms),
+        per_sequence: figure::millis(e.per_seq_ms),
         prefill_rate: e.read_per_s,
         mean_prompt: e.usual.as_ref().map_or(0.0, |u| u.prompt),
         mean_output: e.usual.as_ref().map_or(0.0, |u| u.answer),
         models: e.models.iter().map(|m| m.name.clone()).collect(),
-        per_context: millis(e.context_per_k),
-        per_pairs: millis(e.pairs_per_m),
-        step_tokens: e.chunk,
-        pass_steps: e.stride,
+        per_context: figure::millis(e.context_per_k),
+        per_pairs: figure::millis(e.pairs_per_m),
+        step_tokens: e.chunk.to_u32(),
+        pass_steps: e.stride.to_u32(),
     });
     let origin = wire.origin.map(|address| Origin {
         address,
-        mbps: wire.link_mbps.unwrap_or(0.0),
+        mbps: wire.link_mbps.filter(|m| *m > 0.0).map_or(0.0, bandwidth),
     });
     Service {
         name: wire.name,
@@ -302,9 +317,10 @@
     models: &[WireHeldModel],
     layers: Option<&WireLayers>,
 ) -> Option<u64> {
-    let is_complete = layers.is_none_or(|l| l.from == 0 && l.to > 0);
+    let is_complete = layers.is_none_or(|l| l.from.to_u64() == 0 && l.to.to_u64() > 0);
     let layers_version = layers.map(|l| l.version);
     let version = layers_version.or_else(|| models.first().map(|m| m.version));
+    let version = version.map(Count::to_u64);
     version.filter(|version| is_complete && *version > 0)
 }
 
@@ -327,13 +343,13 @@
         service: wire.service,
         address: wire.address,
         data_center: wire.zone,
-        slots: wire.slots,
+        slots: wire.slots.to_u32(),
         phase,
-        started: wire.born.unwrap_or(0),
+        started: wire.born.map_or(0, Count::to_u64),
         has_engine: wire.models.is_some(),
         weights: complete_version(&wire.models.unwrap_or_default(), wire.layers.as_ref()),
         // The cold start of the service limits it further.
-        cold_left: millis(positive(&wire.cold_remaining_ms)).min(MAX_COLD),
+        cold_left: figure::millis(positive(&wire.cold_remaining_ms)).min(MAX_COLD),
     })
 }
 
@@ -345,11 +361,11 @@
     #[derive(Deserialize)]
     struct WireRelease {
         model: String,
-        version: u64,
+        version: Count,
     }
     let wire: WireRelease = serde_json::from_value(spec)?;
     Ok(Release {
         model: wire.model,
-        version: wire.version,
+        version: wire.version.to_u64(),
     })
 }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -12,6 +12,8 @@
 use crate::digest::Digest;
 use crate::net::{self, uri};
 use crate::platform::decode::{self, WireHeldModel, WireLayers};
+use crate::platform::figure::Count;
+use crate::platform::readable;
 
 /// Maximum size of a response body, bytes.
 const MAX_RESPONSE: usize = 4 * 1024 * 1024;
@@ -82,16 +84,16 @@
     busy: bool,
     /// Number of accepted load orders, not a sequence number of the report.
     #[serde(default)]
-    sequence: u64,
+    sequence: Count,
     #[serde(default)]
-    queued: u32,
+    queued: Count,
     #[serde(default)]
-    running: u32,
+    running: Count,
     pace: Option<f64>,
     #[serde(default)]
     models: Vec<WireHeldModel>,
     layers: Option<WireLayers>,
-    born: Option<u64>,
+    born: Option<Count>,
 }
 
 /// Chunk digests of one version of a model's weights.
@@ -108,6 +110,15 @@
     pub digests: Vec<Digest>,
 }
 
+#[derive(Deserialize)]
+struct WireManifest {
+    model: String,
+    version: Count,
+    #[serde(default)]
+    chunk_bytes: Count,
+    digests: Vec<Digest>,
+}
+
 /// Result of an order to load weights.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LoadOutcome {
@@ -225,7 +236,7 @@
     pub async fn fetch(&mut self, limit: Duration) -> Result<Report, Error> {
         let path = "/report";
         let body = self.client.get(path, limit).await?;
-        let wire: WireReport = serde_json::from_slice(&body).context(MalformedSnafu { path })?;
+        let wire: WireReport = readable::from_slice(&body).context(MalformedSnafu { path })?;
         Ok(convert(&wire))
     }
 }
@@ -272,12 +283,12 @@
 fn convert(wire: &WireReport) -> Report {
     Report {
         busy: wire.busy,
-        accepted_orders: wire.sequence,
-        queued: wire.queued,
-        running: wire.running,
+        accepted_orders: wire.sequence.to_u64(),
+        queued: wire.queued.to_u32(),
+        running: wire.running.to_u32(),
         slowdown: wire.pace.unwrap_or(1.0),
         weights: decode::complete_version(&wire.models, wire.layers.as_ref()),
-        started: wire.born.unwrap_or(0),
+        started: wire.born.map_or(0, Count::to_u64),
     }
 }
 
@@ -293,7 +304,13 @@
 ) -> Result<Manifest, Error> {
     let path = format!("/manifest/{}?version={version}", uri::escape(model));
     let body = get(origin, &path, limit).await?;
-    serde_json::from_slice(&body).context(MalformedSnafu { path })
+    let wire: WireManifest = readable::from_slice(&body).context(MalformedSnafu { path })?;
+    Ok(Manifest {
+        model: wire.model,
+        version: wire.version.to_u64(),
+        chunk_size: wire.chunk_bytes.to_u32(),
+        digests: wire.digests,
+    })
 }
 
 /// Fetches chunk `index` of `version` of `model` from the origin. The digest is not verified.
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -6,6 +6,8 @@
 use http::{Method, Uri, request};
 use xxhash_rust::xxh3;
 
+use crate::platform::figure;
+
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-corianderramp-request-id");
 /// Remaining time for the response, milliseconds; a duration, not a point in time.
 const DEADLINE: HeaderName = HeaderName::from_static("x-corianderramp-deadline-ms");
@@ -94,6 +96,11 @@
     text(headers, name)?.parse().ok()
 }
 
+fn token_count(text: &str) -> Option<u32> {
+    let count = figure::count(text.trim())?;
+    Some(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
 fn shared_parts(value: &str) -> Vec<u64> {
     let ids = value.split(',').map(|part| part.split(':').next());
     let hashes = ids.flatten().map(|id| xxh3::xxh3_64(id.trim().as_bytes()));
@@ -115,16 +122,18 @@
 #[must_use]
 pub fn caller_headers(headers: &HeaderMap) -> CallerHeaders {
     let tokens = text(headers, &TOKENS).unwrap_or_default();
-    let mut counts = tokens.split(',').map(|s| s.trim().parse().unwrap_or(0));
+    let mut counts = tokens.split(',').map(|s| token_count(s).unwrap_or(0));
     let prompt_tokens = counts.next().unwrap_or(0);
     let max_output = counts.next().unwrap_or(0);
-    let hint = number(headers, &LENGTH_HINT);
+    let hint = text(headers, &LENGTH_HINT).and_then(|t| token_count(&t));
     CallerHeaders {
         request_id: text(headers, &REQUEST_ID).unwrap_or_default(),
-        timeout: number(headers, &DEADLINE).map(Duration::from_millis),
+        timeout: text(headers, &DEADLINE)
+            .and_then(|t| figure::count(&t))
+            .map(Duration::from_millis),
         api_key: text(headers, &API_KEY),
         prompt_tokens,
-        output_tokens: hint.map_or(max_output, |hint: u32| hint.min(max_output.max(1))),
+        output_tokens: hint.map_or(max_output, |hint| hint.min(max_output.max(1))),
         shared_parts: shared_parts(&text(headers, &PROMPT_PARTS).unwrap_or_default()),
         last_event: number(headers, &LAST_EVENT),
         model: text(headers, &MODEL),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,6 +14,7 @@
 use crate::fleet::revision;
 use crate::net;
 use crate::net::arrivals::Arrivals;
+use crate::platform::figure;
 
 mod lenient;
 mod pages;
@@ -80,7 +81,7 @@
     /// Metadata.
     #[serde(rename = "metadata")]
     pub meta: Meta,
-    /// Content, not yet decoded; null if it can't be read.
+    /// Content, not yet decoded.
     #[serde(default, deserialize_with = "lenient::value")]
     pub spec: Value,
 }
@@ -91,7 +92,7 @@
     /// Name, unique within its kind.
     pub name: String,
     /// Revision of its last change, composed with the era of the response.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "figure::whole")]
     pub revision: u64,
 }
 
@@ -112,7 +113,7 @@
     #[serde(deserialize_with = "lenient::list")]
     pub events: Vec<Event>,
     /// Composed revision from which the next watch continues.
-    #[serde(rename = "as_of")]
+    #[serde(rename = "as_of", deserialize_with = "figure::whole")]
     pub revision: u64,
 }
 
@@ -131,6 +132,7 @@
     items: Vec<Object>,
     #[serde(default)]
     has_more: bool,
+    #[serde(deserialize_with = "figure::whole")]
     as_of: u64,
 }
 
--- a/src/platform/store/lenient.rs
+++ b/src/platform/store/lenient.rs
@@ -8,6 +8,8 @@
 use serde_json::Value;
 use serde_json::value::RawValue;
 
+use crate::platform::readable;
+
 /// Escape of half a surrogate pair: skipped as part of any value, but no value of its own.
 const UNREADABLE: &str = r"\ud800";
 
@@ -34,10 +36,10 @@
     text.into()
 }
 
-/// Decodes a value; null if it can't be read.
+/// Decodes a value; parts of it that can't be read match no field's type.
 pub fn value<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Value, D::Error> {
     let raw = Box::<RawValue>::deserialize(deserializer)?;
-    Ok(serde_json::from_str(raw.get()).unwrap_or_default())
+    Ok(readable::value(&raw))
 }
 
 /// Decodes the elements of a list that can be read.
--- a/standins/tests/pausing_hosts.rs
+++ b/standins/tests/pausing_hosts.rs
@@ -53,6 +53,7 @@
             gateway_id: 1,
             request_id,
             priority: 1,
+            rank: None,
             objective_ms: 400,
             prompt_tokens: 1,
             immediate_only,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -6,6 +6,7 @@
 
 use corianderramp::fleet::catalog::{Catalog, Entry, LISTED_AGE, Topic};
 use corianderramp::fleet::diff::ConfigChange;
+use corianderramp::fleet::rank::Rank;
 use corianderramp::fleet::{Config, Phase, Release, Route, RouteKind, Target, routes};
 use corianderramp::platform::decode;
 use serde_json::{Value, json};
@@ -135,7 +136,7 @@
 #[test]
 fn config_changes_give_the_same_configuration() {
     let route = |n: usize, priority| Route {
-        priority,
+        priority: Rank::new(priority),
         host: "a.example".into(),
         prefix: format!("/{n:04}/"),
         ..config().routes[0].clone()
@@ -151,7 +152,7 @@
         routes: routes(1..1_401),
         ..config()
     };
-    next.routes[700].priority = 0;
+    next.routes[700].priority = Rank::new(0);
     let change = ConfigChange::between(&old, &next).unwrap();
     assert_eq!((change.changed.len(), change.removed.len()), (2, 1));
     assert_eq!(change.apply(&old), next);
--- a/tests/returning.rs
+++ b/tests/returning.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use corianderramp::fleet::rank::Rank;
 use corianderramp::place::backoff::RefusalRate;
 use corianderramp::place::returning::{
     self, MAX_WAITING, MAX_WAITING_BYTES, MAX_WAITING_PER_ACCOUNT, Queue, Ticket, UsualLimits,
@@ -19,7 +20,7 @@
 
 fn waiter(priority: u8, end: Instant) -> Waiter {
     Waiter {
-        priority,
+        priority: Rank::new(priority.into()),
         end,
         service: 1,
         account: 1,
@@ -321,7 +322,7 @@
                 };
                 // The model finds the caller by its ticket, not by the handle.
                 let none = Ticket {
-                    priority: 0,
+                    priority: Rank::new(0),
                     end,
                     number: 0,
                 };
