Let nobody in without accounts when the list of them is empty

Need: after the last tenant was taken away, every key was let in, also keys that no configuration ever held.

Cause: an empty list of tenants was decoded like a missing one, and a gateway took a configuration without accounts for one that needs no keys. A test without relays failed like the one with them, so copies between nodes were not the only cause.

Change: fleet::access::Access states whether a configuration has a list of accounts. It is part of whole copies and of changes, and decides in Config::authenticate. A copy of an earlier version does not tell the two apart; requests without a known key are then refused with 503, as 401 is final for callers and running them can't be taken back. An empty split beside a service is the service, where it was answered 404.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,8 +9,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::access::Access;
 use crate::fleet::rank::Rank;
 
+pub mod access;
 pub mod catalog;
 pub mod classes;
 pub mod diff;
@@ -34,6 +36,9 @@
     pub keys: Vec<Key>,
     /// Client accounts in the operator's order.
     pub accounts: Vec<Account>,
+    /// Whether requests need the key of an account.
+    #[serde(default)]
+    pub access: Access,
     /// Size and time limits for callers.
     pub limits: Limits,
 }
--- a/src/fleet/diff.rs
+++ b/src/fleet/diff.rs
@@ -53,6 +53,7 @@
             services: new.services.clone(),
             keys: new.keys.clone(),
             accounts: new.accounts.clone(),
+            access: new.access,
             limits: new.limits,
         };
         let change = Self {
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -16,7 +16,8 @@
 use tokio::time;
 
 use crate::clock::Clock;
-use crate::fleet::{self, Account, routes};
+use crate::fleet::access::Denied;
+use crate::fleet::{self, routes};
 use crate::gateway::Gateway;
 use crate::gateway::answer::{Interrupted, Relay};
 use crate::gateway::attempt::PlacementError;
@@ -186,6 +187,12 @@
 };
 const NO_ROUTE: Refusal = Refusal::new(StatusCode::NOT_FOUND, "no route");
 const UNKNOWN_KEY: Refusal = Refusal::new(StatusCode::UNAUTHORIZED, "unknown key");
+/// Not run, because the key may belong to an account that this node does not know.
+const UNDECIDED_KEY: Refusal = Refusal {
+    status: StatusCode::SERVICE_UNAVAILABLE,
+    outcome: "undecided key",
+    retry_after: Some(CONFIG_RETRY_AFTER),
+};
 const HEAD_TOO_LARGE: Refusal = Refusal::new(
     StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
     "head too large",
@@ -280,7 +287,8 @@
         let host = host.split(':').next().unwrap_or_default();
         let route = routes::find(&config, host, parts.uri.path()).ok_or(NO_ROUTE)?;
         record.route.clone_from(&route.name);
-        let account = authenticate(&config, route.public, caller_headers.api_key.as_deref())?;
+        let account = config.authenticate(route.public, caller_headers.api_key.as_deref());
+        let account = account.map_err(denial)?;
         let timeout = caller_headers
             .timeout
             .unwrap_or(DEFAULT_TIMEOUT)
@@ -416,21 +424,12 @@
     }
 }
 
-/// Returns the account of an API key; `None` for public routes and without configured
-/// accounts. Fails when the route needs an account and the key is unknown.
-fn authenticate<'a>(
-    config: &'a fleet::Config,
-    is_public: bool,
-    key: Option<&str>,
-) -> Result<Option<&'a Account>, Refusal> {
-    if config.accounts.is_empty() {
-        return Ok(None);
-    }
-    let account = key.and_then(|k| config.account(k));
-    if account.is_none() && !is_public {
-        return Err(UNKNOWN_KEY);
+/// Refusal of a request that may not use its route.
+fn denial(denied: Denied) -> Refusal {
+    match denied {
+        Denied::UnknownKey => UNKNOWN_KEY,
+        Denied::Undecided => UNDECIDED_KEY,
     }
-    Ok(account.filter(|_| !is_public))
 }
 
 /// Builds the response of a refusal and records its outcome.
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use crate::fleet::access::Access;
 use crate::fleet::rank::Rank;
 use crate::fleet::{
     Account, ColdStart, Config, Engine, Key, Limits, Origin, Phase, Release, Route, RouteKind,
@@ -21,9 +22,8 @@
     routes: Vec<WireRoute>,
     services: Vec<WireService>,
     limits: Option<WireLimits>,
-    /// Client accounts; the platform calls them tenants.
-    #[serde(default)]
-    tenants: Vec<WireAccount>,
+    /// Client accounts; the platform calls them tenants. Without the list, requests need no key.
+    tenants: Option<Vec<WireAccount>>,
 }
 
 #[derive(Deserialize)]
@@ -187,7 +187,12 @@
     let mut services: Vec<Service> = wire.services.into_iter().map(service).collect();
     services.sort_by(|a, b| a.name.cmp(&b.name));
     let (mut keys, mut accounts) = (Vec::new(), Vec::new());
-    for (index, account) in wire.tenants.into_iter().enumerate() {
+    let access = if wire.tenants.is_some() {
+        Access::Keyed
+    } else {
+        Access::Open
+    };
+    for (index, account) in wire.tenants.into_iter().flatten().enumerate() {
         keys.extend(account.api_keys.into_iter().map(|text| Key {
             text,
             account: index,
@@ -205,6 +210,7 @@
         services,
         keys,
         accounts,
+        access,
         limits: wire.limits.as_ref().map(limits).unwrap_or_default(),
     })
 }
@@ -231,7 +237,9 @@
     let single = wire
         .service
         .map(|service| WeightedService { service, weight: 1 });
-    let split = wire.traffic_split.map(split);
+    // An empty split moves nothing away from the service.
+    let shares = wire.traffic_split.filter(|s| !s.is_empty());
+    let split = shares.map(split);
     Route {
         name: wire.name,
         host: wire.host,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -271,6 +271,19 @@
     assert!((3500..3700).contains(&x), "{x} of 4000");
 }
 
+/// A route with a service and an empty split was answered 404.
+#[test]
+fn empty_split_leaves_the_service() {
+    let spec = json!({"version": 1, "services": [], "routes": [{"name": "book", "host": "a",
+        "path_prefix": "/", "kind": "unsafe", "timeout_ms": 100, "service": "desk",
+        "traffic_split": []}]});
+    let config = decode::config(spec).unwrap();
+    assert_eq!(
+        routes::select_service(&config.routes[0], "id"),
+        Some("desk")
+    );
+}
+
 /// With two releases in quick succession, the deadline of each counts from its own release.
 #[test]
 fn deadline_of_each_version_counts_from_its_release() {
