Let an account with an empty list of keys lock out its callers

Need: an operator who takes the last key of an account away expects that nobody gets in with it.

Cause: Account rejected an empty list of keys like a missing one, and entries keep the last valid revision of an object that is invalid. The keys that had been taken away stayed valid at all entries.

Change: an empty list is valid and lets nobody in; a missing list is still rejected, with the field and what an empty one means.

Measured: account_without_keys_lets_nobody_in failed before (the new revision was an invalid object) and passes.

--- a/src/entry/auth.rs
+++ b/src/entry/auth.rs
@@ -21,7 +21,7 @@
         let pairs = view
             .accounts
             .iter()
-            .flat_map(|a| a.spec.keys.iter().map(move |k| (*k, a.clone())));
+            .flat_map(|a| a.spec.keys.iter().flatten().map(move |k| (*k, a.clone())));
         let mut accounts: Vec<_> = pairs.collect();
         accounts.sort_unstable_by_key(|(digest, _)| *digest);
         Self { accounts }
--- a/src/resource/account.rs
+++ b/src/resource/account.rs
@@ -9,8 +9,9 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Account {
-    /// SHA-256 digests of the API keys that callers send as bearer tokens.
-    pub keys: Vec<digest::Digest>,
+    /// SHA-256 digests of the API keys that callers send as bearer tokens. The list may be empty,
+    /// so that no key is valid, but not be missing.
+    pub keys: Option<Vec<digest::Digest>>,
     /// Rate limit across all entries, requests per second.
     pub rate: f64,
     /// Limit of concurrent requests across all entries.
@@ -24,7 +25,7 @@
 impl Default for Account {
     fn default() -> Self {
         Self {
-            keys: Vec::new(),
+            keys: None,
             rate: 100.0,
             concurrency: 256,
             weight: 1,
@@ -38,9 +39,9 @@
 
     fn validate(&self) -> Result<(), Invalid> {
         require(
-            !self.keys.is_empty(),
+            self.keys.is_some(),
             "spec.keys",
-            "must have at least one key digest",
+            "is missing; an empty list lets nobody in",
         )?;
         require(
             self.rate.is_finite() && self.rate > 0.0,
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -115,7 +115,7 @@
 
     /// Adds an account with one key.
     pub fn account(&mut self, name: &str, key: &str, mut spec: account::Account) {
-        spec.keys = vec![Digest::of(key.as_bytes())];
+        spec.keys = Some(vec![Digest::of(key.as_bytes())]);
         insert(&mut self.view.accounts, Object::new(name, spec));
     }
 
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -284,7 +284,7 @@
         self.apply(&Object::new(LEDGER, ledger_service(layout.journal)))
             .await?;
         let spec = account::Account {
-            keys: vec![digest::Digest::of(KEY.as_bytes())],
+            keys: Some(vec![digest::Digest::of(KEY.as_bytes())]),
             rate: 10_000.0,
             concurrency: 4_096,
             ..account::Account::default()
--- a/tests/access.rs
+++ b/tests/access.rs
@@ -3,11 +3,19 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::sync::Arc;
+
+use bytes::Bytes;
+use corianderramp::config::store::{Delta, Entry, Store};
+use corianderramp::config::{View, view};
+use corianderramp::digest;
+use corianderramp::entry::auth;
 use corianderramp::fleet::Config;
 use corianderramp::fleet::access::{Access, Denied};
 use corianderramp::fleet::catalog::Catalog;
 use corianderramp::fleet::diff::ConfigChange;
 use corianderramp::platform::decode;
+use corianderramp::resource::{self, Kind, Metadata, Raw};
 use serde_json::{Value, json};
 
 fn config(version: u64, accounts: Option<Value>) -> Config {
@@ -96,3 +104,51 @@
     let known = catalog.config.unwrap();
     assert_eq!(results(&known), [Err(Denied::UnknownKey); 3]);
 }
+
+/// An account of the project's own interface with an empty list of keys was invalid, so that its
+/// revision before stayed in force, and with it the keys that had been taken away.
+#[test]
+fn account_without_keys_lets_nobody_in() {
+    let key = digest::Digest::of(b"secret");
+    let entry = |revision, spec: Value| {
+        let json = json!({"kind": "Account", "metadata": {"name": "rounds"}, "spec": spec});
+        Arc::new(Entry {
+            kind: Kind::Account,
+            name: "rounds".into(),
+            revision,
+            json: Bytes::from(json.to_string()),
+        })
+    };
+    let specs = [json!({"keys": [key]}), json!({"keys": []})];
+    let (mut store, mut view) = (Store::default(), View::default());
+    let mut admitted = Vec::new();
+    for (revision, spec) in (1..).zip(specs) {
+        store.apply(Delta {
+            from: revision - 1,
+            to: revision,
+            snapshot: false,
+            entries: vec![entry(revision, spec)],
+        });
+        let (next, invalid_objects) = view::build(&store, &view);
+        assert_eq!(invalid_objects, []);
+        view = next;
+        let keys = auth::ApiKeys::new(&view);
+        admitted.push(keys.account("Bearer secret").is_some());
+    }
+    assert_eq!(admitted, [true, false]);
+}
+
+/// A list of keys that was forgotten is a mistake, which must not lock the account out.
+#[test]
+fn account_without_a_list_of_keys_is_rejected() {
+    let metadata = Metadata {
+        name: "rounds".into(),
+        ..Metadata::default()
+    };
+    let raw = Raw {
+        kind: Kind::Account,
+        metadata,
+        spec: json!({"rate": 10.0}),
+    };
+    assert_eq!(resource::check(&raw).unwrap_err().field, "spec.keys");
+}
