Refuse only what an unreadable part of a configuration concerns

Need: one part without a form that the adapter knows kept the whole version out, unheard but for one line in a log: keys that were taken away stayed valid, new routes were answered 404, and a node that started meanwhile had no configuration.

Cause: a configuration was decoded as one typed document, so that the first field that failed failed all others.

Change: it is decoded part by part. By the platform's rules neither the version before (CONFIG) nor 401, 403 or 404 (DENIED) may answer what the new version allows, and 503 promises that nothing has run: requests of an unreadable route, account or service get 503, and the rest is in force, also at a node that starts meanwhile. Each node warns of the parts once for each version; metrics corianderramp_config_unreadable_parts and corianderramp_store_objects_ignored_total; outcome "unreadable config".

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -10,12 +10,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::access::Access;
+use crate::fleet::fault::Fault;
 use crate::fleet::rank::Rank;
 
 pub mod access;
 pub mod catalog;
 pub mod classes;
 pub mod diff;
+pub mod fault;
 pub mod rank;
 pub mod revision;
 pub mod routes;
@@ -41,6 +43,12 @@
     pub access: Access,
     /// Size and time limits for callers.
     pub limits: Limits,
+    /// Whether there may be more routes: of some, the host or path prefix can't be read.
+    #[serde(default)]
+    pub lacks_routes: bool,
+    /// Parts that can't be read.
+    #[serde(default)]
+    pub faults: Vec<Fault>,
 }
 
 impl Config {
@@ -168,7 +176,8 @@
     pub max_attempts: u32,
     /// Whether requests need no API key.
     pub public: bool,
-    /// Services among which requests are split by weight; at least one.
+    /// Services among which requests are split by weight; none if the route can't be read, so that
+    /// its requests are refused.
     pub split: Vec<WeightedService>,
     /// Regions that may serve the requests, sorted; `None` if any may, empty if the list is
     /// malformed, so that none may.
@@ -218,6 +227,23 @@
     /// Limit of its targets after a start; `None` if they need none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cold: Option<ColdStart>,
+    /// Whether it can't be read, so that requests for it are refused.
+    #[serde(default)]
+    pub is_unreadable: bool,
+}
+
+impl Service {
+    /// Creates a service of which only the name can be read.
+    #[must_use]
+    pub fn unreadable(name: String) -> Self {
+        Self {
+            name,
+            engine: None,
+            origin: None,
+            cold: None,
+            is_unreadable: true,
+        }
+    }
 }
 
 /// What the targets of a service take while they are cold.
--- a/src/fleet/diff.rs
+++ b/src/fleet/diff.rs
@@ -55,6 +55,8 @@
             accounts: new.accounts.clone(),
             access: new.access,
             limits: new.limits,
+            lacks_routes: new.lacks_routes,
+            faults: new.faults.clone(),
         };
         let change = Self {
             changed: changed.cloned().collect(),
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -25,7 +25,7 @@
 use crate::gateway::guard::ActiveRequest;
 use crate::gateway::hedge::Answer;
 use crate::place::backoff::RefusalRate;
-use crate::platform::request;
+use crate::platform::request::{self, CallerHeaders};
 
 /// Timeout of requests whose caller sets none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -187,12 +187,6 @@
 };
 const NO_ROUTE: Refusal = Refusal::new(StatusCode::NOT_FOUND, "no route");
 const UNKNOWN_KEY: Refusal = Refusal::new(StatusCode::UNAUTHORIZED, "unknown key");
-/// Not run, because the key may belong to an account that this node does not know.
-const UNDECIDED_KEY: Refusal = Refusal {
-    status: StatusCode::SERVICE_UNAVAILABLE,
-    outcome: "undecided key",
-    retry_after: Some(CONFIG_RETRY_AFTER),
-};
 const HEAD_TOO_LARGE: Refusal = Refusal::new(
     StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
     "head too large",
@@ -285,10 +279,11 @@
         let host = parts.headers.get(header::HOST);
         let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
         let host = host.split(':').next().unwrap_or_default();
-        let route = routes::find(&config, host, parts.uri.path()).ok_or(NO_ROUTE)?;
+        let route = routes::find(&config, host, parts.uri.path());
+        let route = route.ok_or_else(|| missing_route(&config, &caller_headers))?;
         record.route.clone_from(&route.name);
         let account = config.authenticate(route.public, caller_headers.api_key.as_deref());
-        let account = account.map_err(denial)?;
+        let account = account.map_err(|denied| denial(denied, &caller_headers))?;
         let timeout = caller_headers
             .timeout
             .unwrap_or(DEFAULT_TIMEOUT)
@@ -297,7 +292,9 @@
         let deadline = record.start + timeout.saturating_sub(RESPONSE_MARGIN);
         let account_priority = account.and_then(|a| a.priority);
         let priority = account_priority.unwrap_or(route.priority);
-        let service = routes::select_service(route, &caller_headers.request_id).ok_or(NO_ROUTE)?;
+        let service = routes::select_service(route, &caller_headers.request_id);
+        let service = service.filter(|s| config.service(s).is_none_or(|s| !s.is_unreadable));
+        let service = service.ok_or_else(|| unreadable(&caller_headers))?;
         let limit = config.limits.body_bytes;
         let is_returning =
             self.placement.returning && self.record_time_limit(route, &caller_headers);
@@ -424,11 +421,32 @@
     }
 }
 
-/// Refusal of a request that may not use its route.
-fn denial(denied: Denied) -> Refusal {
+/// Refusal of a request that may not use its route. A key may belong to an account that can't be
+/// read.
+fn denial(denied: Denied, headers: &CallerHeaders) -> Refusal {
     match denied {
         Denied::UnknownKey => UNKNOWN_KEY,
-        Denied::Undecided => UNDECIDED_KEY,
+        Denied::Undecided => unreadable(headers),
+    }
+}
+
+/// Refusal of a request without a route, which may belong to one that can't be read.
+fn missing_route(config: &fleet::Config, headers: &CallerHeaders) -> Refusal {
+    if config.lacks_routes {
+        unreadable(headers)
+    } else {
+        NO_ROUTE
+    }
+}
+
+/// Refusal of a request that a part of the configuration concerns that can't be read. It is not
+/// run, and may be served once the operator has written the part anew.
+fn unreadable(headers: &CallerHeaders) -> Refusal {
+    let left = headers.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    Refusal {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        outcome: "unreadable config",
+        retry_after: Some(RefusalRate::retry_after_outage(left, rand::rng().random())),
     }
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,6 +9,8 @@
 
 use crate::fleet::Config;
 use crate::fleet::catalog::Catalog;
+use crate::fleet::fault::Fault;
+use crate::telemetry;
 
 pub mod budget;
 pub mod eras;
@@ -20,7 +22,7 @@
 pub mod settings;
 pub mod stop;
 
-/// Maximum number of routes and accounts that a warning names.
+/// Maximum number of routes and accounts that a warning names, and of parts that can't be read.
 const MAX_LOGGED_NAMES: usize = 8;
 
 /// Errors that stop a node from running.
@@ -84,14 +86,21 @@
     }
 
     /// Adopts a configuration unless a newer one is known; returns whether it did. Warns once for
-    /// each version of malformed lists of regions.
+    /// each version of malformed lists of regions and of parts that can't be read.
     pub fn update_config(&self, revision: u64, config: Config) -> bool {
         let version = config.version;
         let malformed: Vec<String> = config.malformed_homes().map(str::to_owned).collect();
         let before = self.snapshot();
         let is_known = before.config.as_ref().is_some_and(|c| c.version == version);
         drop(before);
+        let faults = config.faults.clone();
         let applied = self.update(|c| c.update_config(revision, config));
+        if applied {
+            telemetry::set_unreadable_parts(faults.len());
+        }
+        if applied && !is_known {
+            log_faults(version, &faults);
+        }
         if applied && !is_known && !malformed.is_empty() {
             let count = malformed.len();
             let names = malformed[..count.min(MAX_LOGGED_NAMES)].join(",");
@@ -101,6 +110,17 @@
     }
 }
 
+/// Warns of parts of a configuration that can't be read.
+fn log_faults(version: u64, faults: &[Fault]) {
+    for Fault { part, reason } in faults.iter().take(MAX_LOGGED_NAMES) {
+        warn!(version, part = part.as_str(), reason = reason.as_str(); "part of the configuration can't be read");
+    }
+    if !faults.is_empty() {
+        let count = faults.len();
+        warn!(version, count; "configuration in force without the parts that can't be read");
+    }
+}
+
 /// Listener for the metrics endpoint, if `address` is set.
 ///
 /// # Errors
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -363,6 +363,8 @@
 
     fn reject(&mut self, name: &str, revision: u64, reason: &decode::ParseError) {
         if self.rejected.insert((name.to_owned(), revision)) {
+            counter!("corianderramp_store_objects_ignored_total", "topic" => self.topic.name())
+                .increment(1);
             let reason = reason.to_string();
             let (era, revision) = (revision::era(revision), revision::number(revision));
             warn!(topic = self.topic.name(), name, era, revision, reason = reason.as_str(); "invalid object ignored");
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -63,6 +63,8 @@
 const STORE_ERA: &str = "corianderramp_store_era";
 /// Gauge of the store revision up to which a topic is known.
 const CATALOG_REVISION: &str = "corianderramp_catalog_revision";
+/// Gauge of the parts of the configuration that can't be read.
+const UNREADABLE_PARTS: &str = "corianderramp_config_unreadable_parts";
 /// Gauge of the number of evacuated data centres.
 const EVACUATED: &str = "corianderramp_evacuated_data_centers";
 /// Gauge of the time since a topic was last known to be current.
@@ -70,7 +72,7 @@
 
 /// All metrics that the processes export. docs/operations/metrics.md says what to do
 /// when one of them changes.
-pub const METRICS: [Metric; 33] = [
+pub const METRICS: [Metric; 35] = [
     Metric {
         name: REQUESTS_TOTAL,
         kind: Type::Counter,
@@ -245,6 +247,18 @@
         labels: &[],
         help: "Data centres that are evacuated as far as a gateway or host knows",
     },
+    Metric {
+        name: UNREADABLE_PARTS,
+        kind: Type::Gauge,
+        labels: &[],
+        help: "Parts of the configuration in force that a gateway or host can't read",
+    },
+    Metric {
+        name: "corianderramp_store_objects_ignored_total",
+        kind: Type::Counter,
+        labels: &["topic"],
+        help: "Objects of the platform's store that can't be read, counted for each revision",
+    },
     Metric {
         name: CATALOG_AGE,
         kind: Type::Gauge,
@@ -326,6 +340,12 @@
     metrics::gauge!(STORE_ERA).set(catalog.era() as f64);
 }
 
+/// Sets the gauge of the parts of the configuration that can't be read.
+#[allow(clippy::cast_precision_loss)]
+pub(crate) fn set_unreadable_parts(count: usize) {
+    metrics::gauge!(UNREADABLE_PARTS).set(count as f64);
+}
+
 /// Sets the gauge of the number of evacuated data centres.
 #[allow(clippy::cast_precision_loss)]
 pub(crate) fn set_evacuated(count: usize) {
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -303,6 +303,7 @@
         engine: None,
         origin: None,
         cold: Some(COLD),
+        is_unreadable: false,
     };
     Catalog {
         config: Some(Arc::new(Config {
