Date releases by the last answer of the store without them

Need: callers got answers from weights that the operator had replaced more than version_ms before, after a relay had stood still or its watch had gone silent.

Cause: a release from a watch counted from the moment at which its event was read. An event that was there before the call, or that waited in the socket of a process that stood still, is older than that.

Change: the watch states how old the changes of its answer may be, and releases are dated by it. One that arrives while the node waits counts from then, as before.

--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -14,8 +14,9 @@
 use crate::fleet::catalog::{Catalog, Entry, LISTED_AGE, Topic};
 use crate::fleet::revision;
 use crate::node::budget::Budget;
+use crate::node::follow::topic_watch::Watched;
 use crate::node::freshness::StoreContact;
-use crate::node::relay::Mode;
+use crate::node::relay::{Mode, codec};
 use crate::node::settings::Settings;
 use crate::node::{SharedCatalog, eras, evacuations, relay};
 use crate::platform::decode;
@@ -152,6 +153,7 @@
         clock,
         has_changed: false,
         is_overdue: false,
+        answered: None,
         rejected: BTreeSet::new(),
     };
     loop {
@@ -169,6 +171,25 @@
     }
 }
 
+/// How this node learned of a change.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Seen {
+    /// From a list, which does not say when it happened.
+    Listed,
+    /// From a watch, at most this long after it happened.
+    Watched(Duration),
+}
+
+impl Seen {
+    /// Longest time since the change.
+    fn age(self) -> Duration {
+        match self {
+            Self::Listed => LISTED_AGE,
+            Self::Watched(age) => age,
+        }
+    }
+}
+
 struct Follower<C: Clock> {
     topic: Topic,
     budget: Budget,
@@ -179,6 +200,8 @@
     has_changed: bool,
     /// Whether the last watch call was not answered in time.
     is_overdue: bool,
+    /// When the last answer to a watch came, or the latest moment before it if that is not known.
+    answered: Option<Moment>,
     /// Name and revision of objects that could not be decoded, so that each is logged once.
     rejected: BTreeSet<(String, u64)>,
 }
@@ -302,14 +325,18 @@
             self.contact.record_topic(self.topic, asked);
             return Ok(revision);
         };
-        let (changes, confirmed) = self.watch(client, revision).await?;
+        let Watched {
+            changes,
+            confirmed,
+            age,
+        } = self.watch(client, revision).await?;
         self.has_changed = !changes.events.is_empty();
         let next = changes.revision.max(revision);
         if self.topic == Topic::Evacuations {
             evacuations::apply_changes(&self.catalog, changes);
         } else {
             for event in changes.events {
-                self.apply(event, Duration::ZERO);
+                self.apply(event, Seen::Watched(age));
             }
         }
         self.contact.record_topic(self.topic, confirmed);
@@ -324,7 +351,7 @@
         if self.topic != Topic::Targets {
             for object in list.items {
                 let removed = false;
-                self.apply(Event { removed, object }, LISTED_AGE);
+                self.apply(Event { removed, object }, Seen::Listed);
             }
             if self.topic == Topic::Releases {
                 self.catalog.update(|c| c.advance_releases(list.revision));
@@ -371,8 +398,8 @@
         }
     }
 
-    /// Applies an event of the store. `age` is the time since it happened.
-    fn apply(&mut self, event: Event, age: Duration) {
+    /// Applies an event of the store.
+    fn apply(&mut self, event: Event, seen: Seen) {
         let (name, revision) = (event.object.meta.name.clone(), event.object.meta.revision);
         match self.topic {
             Topic::Config if event.removed => {
@@ -399,16 +426,17 @@
                 Ok(release) => {
                     let version = release.version;
                     let now = self.clock.now();
-                    let seen = now.checked_sub(age).unwrap_or(now);
+                    let age = seen.age();
+                    let released = now.checked_sub(age).unwrap_or(now);
                     let applied = self.catalog.update(|c| {
-                        let applied = c.add_release(&name, revision, release, seen);
-                        if applied && !age.is_zero() {
+                        let applied = c.add_release(&name, revision, release, released);
+                        if applied && seen == Seen::Listed {
                             c.mark_listed(&name, version);
                         }
                         applied
                     });
                     let (era, revision) = (revision::era(revision), revision::number(revision));
-                    info!(topic = "releases", model = name.as_str(), version, era, revision, applied; "release received");
+                    info!(topic = "releases", model = name.as_str(), version, era, revision, applied, age_ms = codec::millis(age); "release received");
                 }
                 Err(e) => self.reject(&name, revision, &e),
             },
--- a/src/node/follow/topic_watch.rs
+++ b/src/node/follow/topic_watch.rs
@@ -6,6 +6,7 @@
 use tokio::time;
 
 use crate::clock::{Clock, Moment};
+use crate::fleet::catalog::LISTED_AGE;
 use crate::node::follow::Follower;
 use crate::platform::store::{Changes, Client, Error};
 
@@ -19,6 +20,16 @@
     grace: Duration,
 }
 
+/// Answer to a watch.
+pub(super) struct Watched {
+    /// Changes since the last answer.
+    pub changes: Changes,
+    /// Moment at which this node has every change with the answer.
+    pub confirmed: Moment,
+    /// Longest time for which the store may have had the changes.
+    pub age: Duration,
+}
+
 impl<C: Clock> Follower<C> {
     /// When to send the next watch. Its answer confirms the topic no later than an interval of the
     /// budget after the last confirmation, though changes have come meanwhile.
@@ -45,18 +56,22 @@
         Schedule { delay, wait, grace }
     }
 
-    /// Watches the topic once from `revision`. Returns the answer and a moment at which this node
-    /// has every change with it.
+    /// Watches the topic once from `revision`.
     pub(super) async fn watch(
-        &self,
+        &mut self,
         client: &mut Client,
         revision: u64,
-    ) -> Result<(Changes, Moment), Error> {
+    ) -> Result<Watched, Error> {
         let Schedule { delay, wait, grace } = self.schedule();
         if !delay.is_zero() {
             time::sleep(delay).await;
         }
         let asked = Moment::of(&self.clock);
+        let ages = [
+            self.contact.topic_age(self.topic, asked),
+            self.answered.map(|at| asked.since(at)),
+        ];
+        let unconfirmed = ages.into_iter().flatten().min();
         let mut call = pin!(client.watch(self.topic, revision, wait, grace));
         // The store has not answered before the last moment but one at which this node ran in time
         // and nothing was arriving. A node that was suspended reads answers that are as old as the
@@ -76,12 +91,26 @@
             }
         };
         let now = Moment::of(&self.clock);
+        let ran_in_time = is_known && now.since(last) < tick * 2;
+        let age = if !ran_in_time {
+            now.since(unanswered)
+        } else if now.since(asked) < tick {
+            // The changes may have been there before the call.
+            unconfirmed.unwrap_or(LISTED_AGE) + now.since(asked)
+        } else {
+            Duration::ZERO
+        };
+        self.answered = Some(if ran_in_time { now } else { unanswered });
         self.contact.record(now);
         let confirmed = if changes.events.is_empty() {
             asked.after(wait.min(now.since(asked)))
         } else {
             unanswered
         };
-        Ok((changes, confirmed))
+        Ok(Watched {
+            changes,
+            confirmed,
+            age,
+        })
     }
 }
