Keep the sum of released versions from overflowing

Cause: versions may now be as large as a u64 holds, and two of them overflowed the sum by which followers learn of releases. The sum saturates. sum_of_the_largest_versions_does_not_overflow panicked before.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -222,7 +222,8 @@
     /// Sum of the newest versions of all models, which rises with each release.
     #[must_use]
     pub fn release_sum(&self) -> u64 {
-        self.releases.iter().map(|r| r.value.release.version).sum()
+        let versions = self.releases.iter().map(|r| r.value.release.version);
+        versions.fold(0, u64::saturating_add)
     }
 
     /// Adopts a list of targets of unknown age while none is known; returns whether it did.
--- a/tests/figures.rs
+++ b/tests/figures.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use corianderramp::fleet::catalog::Catalog;
 use corianderramp::fleet::classes::{self, Classes};
 use corianderramp::fleet::diff::ConfigChange;
 use corianderramp::fleet::rank::Rank;
@@ -145,6 +146,17 @@
     }
 }
 
+/// The sum of the released versions, by which followers of a relay learn of a release, overflowed.
+#[test]
+fn sum_of_the_largest_versions_does_not_overflow() {
+    let mut catalog = Catalog::default();
+    for model in ["m0", "m1"] {
+        let spec = with(json!({"model": model, "version": 1}), "/version", "1e30");
+        catalog.add_release(model, 1, decode::release(spec).unwrap(), Instant::now());
+    }
+    assert_eq!(catalog.release_sum(), u64::MAX);
+}
+
 /// A negative count is no figure; it must not be taken for a large or a small one.
 #[test]
 fn negative_counts_are_rejected() {
